--- /dev/null
+++ b/myrtlecrank/__init__.py
@@ -0,0 +1,1 @@
+"""Overload controller that lives inside each backend of a fleet."""
--- /dev/null
+++ b/myrtlecrank/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter between the decision module and the simulator's wire."""
--- /dev/null
+++ b/myrtlecrank/benchlink/__main__.py
@@ -0,0 +1,23 @@
+"""Runs the decision module on the simulator's wire: standard input to standard output."""
+
+import sys
+import traceback
+
+from myrtlecrank.benchlink.host import Panic, serve
+from myrtlecrank.benchlink.wire import WireError
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as error:
+        print(f"benchlink: {error}", file=sys.stderr)
+        return 1
+    except Panic as panic:
+        traceback.print_exception(panic.__cause__, file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/myrtlecrank/benchlink/host.py
@@ -0,0 +1,161 @@
+"""Keeps the instances of one adapter process and runs the batch loop."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any, BinaryIO
+
+from myrtlecrank import port
+from myrtlecrank.benchlink import wire
+from myrtlecrank.logic import Controller
+
+
+class Instance:
+    """One backend: its controller, the exchanges it may still be told about, and what it wants done."""
+
+    def __init__(self, number: int, event: wire.Fields, now: float) -> None:
+        facts = wire.start_facts(event)
+        self.number = number
+        self.tells_left = facts.tells_left
+        self.groups = len(facts.groups)
+        longest = max((g.timeout + g.window for g in facts.groups), default=0.0)
+        self.remembered_for = 2.0 * longest + facts.share_for
+        self.exchanges: dict[int, port.Exchange] = {}
+        self.ids: dict[port.Exchange, int] = {}
+        self.ages: deque[tuple[float, int]] = deque()
+        self.replies: list[bytes] = []
+        self.controller = Controller(facts, self.do, now)
+
+    def do(self, op: port.Operation) -> None:
+        self.replies.append(wire.action(op, self.number, self.ids.__getitem__))
+
+    def forget_old(self, now: float) -> None:
+        while self.ages and self.ages[0][0] < now - self.remembered_for:
+            ex = self.exchanges.pop(self.ages.popleft()[1], None)
+            if ex is not None:
+                del self.ids[ex]
+
+    def arrival(self, event: wire.Fields, now: float) -> port.Exchange:
+        ex = wire.exchange(event, self.tells_left, self.groups)
+        ident = event.integer("call")
+        named = event.integer("earlier", 0)
+        if named:
+            # A repeat stays one even if what it repeats is no longer in the table.
+            ex.earlier = self.exchanges.get(named) or port.Exchange(ex.group, None, 0.0, 0.0)
+        self.exchanges[ident] = ex
+        self.ids[ex] = ident
+        self.ages.append((now, ident))
+        return ex
+
+    def event(self, event: wire.Fields, now: float) -> None:
+        name = event.text("msg")
+        known = self.exchanges.get(event.integer("call")) if name in ABOUT_ONE else None
+        if name == "inbound":
+            self.controller.arrived(self.arrival(event, now), now)
+        elif name == "result":
+            end, took = wire.outcome(event), event.ms("costTime", 0.0)
+            if known:
+                self.controller.finished(known, end, took, now)
+        elif name == "atCall":
+            if known:
+                self.controller.at_call(known, now)
+        elif name == "cameBack":
+            end, took = wire.outcome(event), event.ms("costTime", 0.0)
+            if known:
+                self.controller.call_ended(known, end, took, now)
+        elif name == "expired":
+            if known:
+                self.controller.caller_left(known, now)
+        elif name == "terminateSoon":
+            self.controller.leave(event.ms("patienceLeft"), now)
+        elif name == "fired":
+            self.controller.alarm(event.text("name"), wire.gauges(event), now)
+
+
+ABOUT_ONE = {"result", "atCall", "cameBack", "expired"}
+EVENTS = ABOUT_ONE | {"inbound", "terminateSoon", "fired"}
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.now: float | None = None
+        self.touched: dict[int, Instance] = {}
+
+    def line(self, event: wire.Fields) -> list[bytes] | None:
+        """Takes one line in; at the end of a batch, its reply."""
+        name = event.text("msg")
+        if name == "turn":
+            if self.now is not None:
+                raise wire.WireError(f"{event.where} begins a batch inside another")
+            self.now = event.integer("simTime") / 1000.0
+            return None
+        if self.now is None:
+            raise wire.WireError(f"{event.where} stands outside a batch")
+        if name == "flush":
+            return self._reply(self.now)
+        number = event.integer("backendId")
+        if name == "start":
+            started = self._guarded(number, Instance, number, event, self.now)
+            self.instances[number] = self.touched[number] = started
+        elif name == "retire":
+            self.instances.pop(number, None)
+            self.touched.pop(number, None)
+        elif name not in EVENTS:
+            raise wire.WireError(f"{event.where}: unknown event")
+        else:
+            instance = self.instances.get(number)
+            if instance is None:
+                raise wire.WireError(f"{event.where}: backend {number} has not started")
+            self.touched[number] = instance
+            self._guarded(number, instance.event, event, self.now)
+        return None
+
+    def _guarded(self, number: int, work: Callable[..., Any], *args: Any) -> Any:
+        try:
+            return work(*args)
+        except wire.WireError:
+            raise
+        except Exception as error:
+            raise Panic(number, error) from error
+
+    def _reply(self, now: float) -> list[bytes]:
+        lines: list[bytes] = []
+        for number, instance in self.touched.items():
+            self._guarded(number, instance.controller.settle, now)
+            instance.forget_old(now)
+            lines += instance.replies
+            instance.replies.clear()
+        self.touched.clear()
+        self.now = None
+        lines.append(b'{"msg":"next"}')
+        return lines
+
+
+class Panic(Exception):
+    """An exception in the decision module, to be told on the wire."""
+
+    def __init__(self, backend: int, cause: Exception) -> None:
+        super().__init__(str(cause))
+        self.line = wire.panic(backend, cause)
+
+
+def serve(lines: Iterable[bytes], out: BinaryIO) -> None:
+    """Runs until the input ends; raises WireError at a malformed line."""
+    host = Host()
+    number = 0
+    for number, line in enumerate(lines, 1):
+        if not line.strip():
+            continue
+        try:
+            reply = host.line(wire.parse(line, number))
+        except Panic as panic:
+            out.write(panic.line + b'\n{"msg":"next"}\n')
+            out.flush()
+            raise
+        if reply is not None:
+            out.write(b"\n".join(reply) + b"\n")
+            out.flush()
+    if host.now is not None:
+        raise wire.WireError(f"the input ends inside a batch, after line {number}")
--- /dev/null
+++ b/myrtlecrank/logic.py
@@ -0,0 +1,528 @@
+"""All decisions of a backend. The host builds a Controller from StartFacts, calls it for every event with the
+time now (ms), and calls settle() once after the events of one moment. Operations go out through `do`.
+The interface, with every type named here, is myrtlecrank/port.py; docs/design.md explains the decisions."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Generator
+from enum import Enum
+from heapq import heappop, heappush
+from itertools import count
+from math import exp
+from typing import Any
+
+from myrtlecrank import port
+from myrtlecrank.port import Below, Exchange, Halting, Kind, Meaning, Outcome
+
+BEAT = 100.0  # between samples
+CPU_SPAN = 20  # samples in the rolling CPU gauge (2 s)
+DURESS_CPU, REFUSE_CPU, REFUSE_MEMORY = 0.90, 0.95, 0.85
+DURESS_SAMPLES = 3
+OUTLIER = 2.0  # how many times the mean a running exchange must exceed to be cancelled
+MEMORY_USED, CROWD_USED = 0.92, 0.85  # parts of what a backend survives that decisions use
+CALLS_PER_CORE = 3  # calls in hand with a tier below
+FILL = 1.05  # wanted on the cores, per core
+HOLD_PRESSED, HOLD_SIZE = 0.12, 0.35  # longest wait in the hold, per SLO time
+STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
+PUBLISH_BEATS = 3
+
+
+class Place(Enum):
+    HELD = 0
+    RUNNING = 1
+    AT_CALL = 2
+    CALLING = 3
+    JOINED = 4
+    OVER = 5
+
+
+class Word(Enum):
+    """What resumes an exchange, beside the outcomes of runs and calls."""
+
+    TURN = 0
+    AT_CALL = 1
+    CUT = 2  # the highest score under duress
+    LATE = 3  # its time is up, or an answer could no longer be of use
+    SHED = 4  # turned away for another, or for want of memory
+    STOP = 5  # the process is about to be stopped
+
+
+class Pause(Enum):
+    """What an exchange waits for without asking for an operation."""
+
+    HOLD = 0
+    CALL_ROOM = 1
+    END = 2
+
+
+AWAITED = (port.Start, port.Call, port.Skip, port.Join)
+PROVEN_UNRUN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
+Steps = Generator[Any, Any, Any]
+
+
+class Group:
+    """An endpoint group: its line of held exchanges and what was learned of its work."""
+
+    def __init__(self, facts: port.EndpointGroup) -> None:
+        self.kind, self.calls, self.benefit_without = facts.kind, facts.calls, facts.benefit_without
+        self.slo, self.timeout, self.stretch = facts.slo, facts.timeout, facts.slo_stretch
+        self.benefit, self.late_benefit, self.window = facts.benefit, facts.late_benefit, facts.window
+        self.line: list[Course] = []
+        self.run_ms = 0.2 * facts.slo  # mean time of a run, learned
+        self.per_hint = 0.0  # run time for each ms of hint, learned
+        self.longest_left = 0.0  # the most patience lately seen: a first try's
+        self.credit = 0.0  # turns carried over
+
+
+class Course:
+    """One exchange on its way through this backend."""
+
+    def __init__(self, ex: Exchange, group: Group, now: float) -> None:
+        self.ex, self.group, self.place = ex, group, Place.HELD
+        left = group.timeout - ex.waited if ex.left is None else ex.left
+        self.due = now + max(0.0, left)
+        self.reached = now - ex.waited
+        self.asked = self.reached  # when its caller first tried, as far as can be told
+        self.kb = ex.kb
+        self.wake = 0.0  # its entry in the due times that counts
+        self.began = self.cpu = 0.0
+        self.value = 0.0
+        self.answered = False
+        self.steps: Steps | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        return self.group.kind is Kind.REPEATABLE
+
+
+class Controller:
+    def __init__(self, facts: port.StartFacts, do: port.Do, now: float) -> None:
+        self.do, self.now, self.born = do, now, now
+        self.chance = random.Random(facts.seed).random
+        self.groups = [Group(g) for g in facts.groups]
+        self.shares = [t.per_second / 1000.0 / max(1, facts.backends) for t in facts.tenants]
+        self.rates = [0.0 for _ in facts.tenants]
+        self.over_benefit, self.by_work = facts.over_share_benefit, facts.benefit_by_work
+        self.cores, self.memory_kb, self.run_weight = facts.cores, facts.memory_kb, facts.run_weight
+        self.key_kb, self.share_for, self.grace = facts.key_kb, facts.share_for, facts.drain_grace
+        self.crowd_warm = 1.0 + (facts.crowd_per_core - 1.0) * CROWD_USED
+        self.cold_from = facts.cold_from if facts.cold else 1.0
+        self.warm_within = facts.warm_within
+        self.margin = BEAT + 2.0 * facts.tick  # an answer is given this long before it is due
+        self.can_halt = facts.halting is not Halting.NONE
+        self.meaning, self.wait_limit, self.callers = facts.meaning, facts.wait_limit, max(1, facts.callers)
+        self.calls_at_most = 0.0
+        if facts.below is Below.SHARED:
+            self.calls_at_most = facts.calls_share
+        elif facts.below is Below.TIER:
+            self.calls_at_most = float(CALLS_PER_CORE * facts.cores)
+        self.calls_over, self.call_lingers = max(1.0, facts.calls_over), facts.call_lingers
+        self.calls, self.calls_mean, self.calls_seen = 0, 0.0, now
+        self.parked: deque[Course] = deque()  # waiting for room at the dependency
+        self.running: dict[Course, None] = {}
+        self.held = 0
+        self.used_kb = 0.0
+        self.dues: list[tuple[float, int, Any]] = []
+        self.order = count().__next__
+        self.limit = float(self.cores)
+        self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
+        self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
+        self.unread, self.retried = 0.0, 0.0
+        self.leaving: float | None = None  # when the notice to leave came
+        self.stop_at = float("inf")
+        top = {Meaning.CREDIT: 2.0 * self.cores, Meaning.WEIGHT: 1.0, Meaning.LEVEL: 1.0}
+        self.open_to, self.said = top.get(self.meaning, 0.0), -1.0
+        self.open_at_most = self.open_to
+        self.do(port.Health(True, True))
+        self.do(port.Alarm("beat", BEAT))
+
+    # The path of an exchange
+
+    def _course(self, c: Course) -> Steps:
+        """The ordinary path, from being read to the one answer; what it must wait for resumes it."""
+        if c.ex.earlier is not None and (c.group.kind is Kind.DEDUPLICATED or self.share_for > 0):
+            return (yield from self._joined(c))
+        if self._refused(c):
+            return (yield self._denial(c))
+        if c.group.kind is Kind.DEDUPLICATED:
+            yield self._kept(c, c.group.window)
+        word = yield Pause.HOLD
+        if word is not Word.TURN:
+            if c.group.kind is Kind.DEDUPLICATED:
+                yield port.Erase(c.ex)
+            return (yield self._denial(c))
+        if c.repeatable and self.share_for > 0 and c.ex.keyed:
+            yield self._kept(c, self.share_for + c.group.run_ms)
+        word = yield port.Start(c.ex)
+        while word is Word.AT_CALL:
+            word = yield from self._call_below(c)
+        if isinstance(word, Outcome) and word is not Outcome.CANCELLED:
+            return  # its end was its answer
+        yield self._denial(c) if c.repeatable and word is Word.CUT else port.Fail(c.ex)
+        if self.can_halt and c.place in (Place.RUNNING, Place.CALLING):
+            yield port.Halt(c.ex)
+
+    def _call_below(self, c: Course) -> Generator[Any, Any, Any]:
+        """A call with the time left as its time-out; repeated only where the last one can do no harm."""
+        for _ in range(3):
+            word = yield Pause.CALL_ROOM
+            if word is not Word.TURN:
+                return word
+            word = yield port.Call(c.ex, max(1.0, c.due - self.margin - self.now))
+            if word is Outcome.OK:
+                return (yield Pause.END)
+            if not isinstance(word, Outcome):
+                return word
+            if not (c.repeatable or word in PROVEN_UNRUN):
+                break
+        if c.group.benefit_without > 0:
+            return (yield port.Skip(c.ex))
+        return Word.LATE
+
+    def _joined(self, c: Course) -> Steps:
+        """A repeat takes the outcome of what it repeats: no second effect, and a read costs a twentieth."""
+        word = yield port.Join(c.ex)
+        if not isinstance(word, Outcome):
+            yield port.Fail(c.ex)  # never a denial: what it repeats may have run
+
+    def _step(self, c: Course, word: object) -> None:
+        """Resumes an exchange and carries out what it asks for, up to what it must wait for."""
+        while c.steps is not None:
+            try:
+                want = c.steps.send(word)
+            except StopIteration:
+                c.steps = None
+                return
+            word = None
+            if isinstance(want, Pause):
+                if want is Pause.HOLD:
+                    self._hold(c)
+                elif want is Pause.CALL_ROOM:
+                    c.place = Place.AT_CALL
+                    self.parked.append(c)
+                return
+            self._account(c, want)
+            self.do(want)
+            if isinstance(want, AWAITED):
+                return
+
+    def _account(self, c: Course, want: port.Operation) -> None:
+        if isinstance(want, port.Deny | port.Fail):
+            c.answered = True
+            if c.place in (Place.HELD, Place.JOINED):
+                self._over(c)
+        elif isinstance(want, port.Start):
+            c.place, c.began = Place.RUNNING, self.now
+            self.running[c] = None
+            self._weigh(c, c.ex.kb * self.run_weight)
+            self._wake(c, c.due - self.margin)
+        elif isinstance(want, port.Join):
+            c.place = Place.JOINED
+            self._wake(c, c.due - self.margin)
+        elif isinstance(want, port.Call):
+            c.place = Place.CALLING
+            self._count_calls(1)
+        elif isinstance(want, port.Skip):
+            c.place = Place.RUNNING
+
+    def _over(self, c: Course) -> None:
+        if c.place is Place.CALLING:
+            self._push(self.now + self.call_lingers, -1)
+        elif c.place is Place.AT_CALL and c in self.parked:
+            self.parked.remove(c)
+        self.running.pop(c, None)
+        self._weigh(c, 0.0)
+        c.place, c.wake = Place.OVER, 0.0
+
+    def _weigh(self, c: Course, kb: float) -> None:
+        self.used_kb += kb - c.kb
+        c.kb = kb
+
+    def _kept(self, c: Course, span: float) -> port.Retain:
+        self.used_kb += self.key_kb
+        self._push(self.now + span, self.key_kb)
+        return port.Retain(c.ex, span)
+
+    def _denial(self, c: Course) -> port.Deny:
+        """What callers should do instead of asking at once again: nothing elsewhere once others deny too."""
+        wait = min(self.wait_limit, max(BEAT, 2.0 * self._wait()))
+        last = self.leaving is None and self.now - c.asked > c.ex.waited + 2 * BEAT
+        return port.Deny(c.ex, last, self.wait_limit if self.leaving is not None else wait)
+
+    # Arrivals: admission on the rolling gauges
+
+    def arrived(self, ex: Exchange, now: float) -> None:
+        self.now = now
+        group = self.groups[ex.group]
+        c = ex.course = Course(ex, group, now)
+        self.used_kb += ex.kb
+        if ex.left is not None:
+            # A caller that tries again has less patience left than it began with: its first try's age.
+            total = ex.left + ex.waited
+            group.longest_left = min(group.timeout, max(total, group.longest_left - 0.001 * group.timeout))
+            c.asked -= max(0.0, group.longest_left - total)
+        if self.shares:
+            self.rates[ex.tenant] += 1.0 / 3000.0
+        self.unread += 0.1 * (ex.waited - self.unread)
+        c.value = self._value(c)
+        c.steps = self._course(c)
+        self._step(c, None)
+
+    def _value(self, c: Course) -> float:
+        """Benefit for each ms of work, less what its tenant sends beyond our part of its allowance."""
+        value = c.group.benefit if self.by_work else c.group.benefit / c.group.run_ms
+        if self.shares:
+            within = min(1.0, self.shares[c.ex.tenant] / max(1e-9, self.rates[c.ex.tenant]))
+            value *= within + (1.0 - within) * self.over_benefit
+        return value
+
+    def _expected(self, c: Course) -> float:
+        hinted = c.ex.work_hint * c.group.per_hint
+        return hinted if hinted > 0 else c.group.run_ms
+
+    def _wait(self) -> float:
+        """How long one that comes now would stand in the hold."""
+        ahead = sum(g.run_ms * len(g.line) for g in self.groups)
+        return ahead / self._room()
+
+    def _last_use(self, c: Course) -> float:
+        """The latest start that can still earn something."""
+        slo = c.asked + c.group.slo + c.group.stretch * self._expected(c)
+        use = c.due - self.margin if c.group.late_benefit > 0 else min(slo, c.due - self.margin)
+        return use - 0.7 * self._expected(c)
+
+    def _refused(self, c: Course) -> bool:
+        if self.leaving is not None and c.reached > self.leaving + self.grace - self.margin:
+            return True
+        if self.stop_at - self.now < 2.0 * self.margin or self._last_use(c) < self.now:
+            return True
+        if max(self.memory_gauge, self.used_kb / self.memory_kb) > REFUSE_MEMORY:
+            return True
+        share = HOLD_PRESSED if self.held and self.cpu() > REFUSE_CPU else HOLD_SIZE
+        if self._wait() <= share * c.group.slo:
+            return False
+        # The hold is full: of the arrival and all held, the one of least value is turned away.
+        lines = [g.line for g in self.groups if g.line]
+        least = min((min(line, key=lambda h: h.value) for line in lines), key=lambda h: h.value)
+        if least.value >= 0.8 * c.value:
+            return True
+        self._leave_line(least, Word.SHED)
+        return False
+
+    def cpu(self) -> float:
+        return sum(self.cpu_samples) / len(self.cpu_samples) if len(self.cpu_samples) == CPU_SPAN else 0.0
+
+    # The hold
+
+    def _hold(self, c: Course) -> None:
+        c.group.line.append(c)
+        self.held += 1
+        self._wake(c, min(c.due - self.margin, self._last_use(c)))
+
+    def _leave_line(self, c: Course, word: Word) -> None:
+        c.group.line.remove(c)
+        self.held -= 1
+        self._step(c, word)
+
+    def _warmth(self) -> float:
+        if self.cold_from >= 1.0:
+            return 1.0
+        warmed = (self.now - self.born) / max(1.0, self.warm_within)
+        return min(1.0, self.cold_from + (1.0 - self.cold_from) * warmed)
+
+    def _ceiling(self) -> float:
+        """The crowd this backend survives, ramped evenly from the cold one."""
+        return max(1.0, (1.0 + (self.crowd_warm - 1.0) * self._warmth()) * self.cores)
+
+    def _room(self) -> float:
+        return max(1.0, min(self.limit, self._ceiling()))
+
+    def _start_held(self) -> None:
+        """Lines take turns by weight, the value of their first; what a line doesn't get it carries over."""
+        while self.held and len(self.running) < self._room():
+            lines = [g for g in self.groups if g.line]
+            total = sum(g.line[0].value for g in lines) or 1.0
+            for g in lines:
+                g.credit += g.line[0].value / total
+            turn = max(lines, key=lambda g: g.credit)
+            c = turn.line[0]
+            more = c.ex.kb * (self.run_weight - 1.0)
+            if self.running and self.used_kb + more > MEMORY_USED * self.memory_kb:
+                return
+            turn.credit -= 1.0
+            for g in self.groups:
+                g.credit = g.credit if g.line else 0.0
+            self._leave_line(c, Word.TURN)
+
+    # Runs and calls
+
+    def finished(self, ex: Exchange, outcome: Outcome, took: float, now: float) -> None:
+        self.now = now
+        c: Course | None = ex.course
+        if c is None or c.place is Place.OVER:
+            return
+        if c.place is not Place.JOINED and outcome is Outcome.OK:
+            g = c.group
+            g.run_ms += 0.05 * (took - g.run_ms)
+            if ex.work_hint > 0:
+                ratio = took / ex.work_hint
+                g.per_hint += (0.05 if g.per_hint else 1.0) * (ratio - g.per_hint)
+        if outcome is Outcome.CANCELLED and not c.answered:
+            c.place = Place.HELD  # stopped by none of ours: the answer is still owed
+        else:
+            self._over(c)
+        self.running.pop(c, None)
+        self._step(c, outcome)
+
+    def at_call(self, ex: Exchange, now: float) -> None:
+        self.now = now
+        if ex.course is not None and ex.course.place is Place.RUNNING:
+            self._step(ex.course, Word.AT_CALL)
+
+    def call_ended(self, ex: Exchange, outcome: Outcome, took: float, now: float) -> None:
+        self.now = now
+        c: Course | None = ex.course
+        if c is None or c.place is not Place.CALLING:
+            return
+        if outcome is Outcome.TIMEOUT:
+            self._push(now + self.call_lingers, -1)
+        else:
+            self._count_calls(-1)
+        c.place = Place.RUNNING if outcome is Outcome.OK else Place.AT_CALL
+        self._step(c, outcome)
+
+    def _count_calls(self, change: int) -> None:
+        passed = 1.0 - exp((self.calls_seen - self.now) / self.calls_over)
+        self.calls_mean += (self.calls - self.calls_mean) * passed
+        self.calls_seen = self.now
+        self.calls += change
+
+    def _start_calls(self) -> None:
+        while self.parked:
+            self._count_calls(0)
+            # A share below one is kept as a mean: one call at a time, then a pause.
+            full = self.calls + 1 > self.calls_at_most
+            if full and (self.calls or self.calls_mean > 0.5 * self.calls_at_most):
+                return
+            self._step(self.parked.popleft(), Word.TURN)
+
+    def caller_left(self, ex: Exchange, now: float) -> None:
+        self.now = now
+        c: Course | None = ex.course
+        if c is None or c.place is Place.OVER:
+            return
+        c.answered = True
+        if c.place in (Place.HELD, Place.JOINED):
+            c.steps = None
+            if c in c.group.line:
+                c.group.line.remove(c)
+                self.held -= 1
+            self._over(c)
+        elif c.repeatable and self.can_halt and c.place is Place.RUNNING:
+            self.do(port.Halt(ex))
+
+    # Due times, samples, publishing
+
+    def _push(self, at: float, what: Any) -> None:
+        heappush(self.dues, (at, self.order(), what))
+
+    def _wake(self, c: Course, at: float) -> None:
+        c.wake = at
+        self._push(at, c)
+
+    def settle(self, now: float) -> None:
+        """After the events of one moment: what is due, then what may start."""
+        self.now = now
+        while self.dues and self.dues[0][0] <= now:
+            at, _, what = heappop(self.dues)
+            if isinstance(what, Course):
+                if what.wake == at and not what.answered:
+                    self._give_up(what, Word.LATE)
+            elif isinstance(what, int):
+                self._count_calls(what)
+            else:
+                self.used_kb -= what
+        if now >= self.stop_at - 2.0 * self.margin:
+            for c in [c for g in self.groups for c in g.line] + list(self.running):
+                if not c.answered:
+                    self._give_up(c, Word.STOP)
+        self._start_calls()
+        self._start_held()
+
+    def _give_up(self, c: Course, word: Word) -> None:
+        if c.place is Place.HELD and c in c.group.line:
+            self._leave_line(c, word)
+        else:
+            self._step(c, word)
+
+    def leave(self, left: float, now: float) -> None:
+        self.now, self.leaving, self.stop_at = now, now, now + left
+        self.do(port.Health(False, True))
+        self._publish()
+
+    def alarm(self, name: str, gauges: port.Gauges, now: float) -> None:
+        self.now = now
+        self.do(port.Alarm("beat", BEAT))
+        self.beats += 1
+        busy = len(self.running) / self.cores if gauges.cpu is None else gauges.cpu
+        self.cpu_samples.append(min(1.0, busy))
+        crowd = len(self.running) if gauges.on_cores is None else gauges.on_cores
+        self.on_cores += 0.1 * (crowd - self.on_cores)
+        self.memory_gauge = gauges.memory or 0.0
+        self.unread *= 0.98
+        self.rates = [r * (1.0 - BEAT / 3000.0) for r in self.rates]
+        for c in self.running:
+            c.cpu += BEAT * min(1.0, busy * self.cores / len(self.running))
+        self._learn_limit(busy)
+        self._duress(busy)
+        if self.beats % PUBLISH_BEATS == 0:
+            self._publish()
+
+    def _learn_limit(self, busy: float) -> None:
+        """As many as keep the cores busy without a crowd; waits for disk and calls make room for more."""
+        if self.held and self.on_cores < FILL * self.cores:
+            self.limit = min(self._ceiling(), self.limit + 0.1)
+        elif self.on_cores > FILL * self.cores + 0.5:
+            self.limit = max(0.5 * self.cores, self.limit - 0.1)
+
+    def _duress(self, busy: float) -> None:
+        """The source's search backpressure: after three pressed samples the highest score goes."""
+        memory = max(self.memory_gauge, self.used_kb / self.memory_kb)
+        pressed = (busy > DURESS_CPU and self.held > 0) or memory > REFUSE_MEMORY
+        self.pressed_samples = self.pressed_samples + 1 if pressed else 0
+        if self.pressed_samples < DURESS_SAMPLES or not self.can_halt or not self.running:
+            return
+        n = len(self.running)
+        cpu = sum(c.cpu for c in self.running) / n or 1.0
+        kb = sum(c.kb for c in self.running) / n or 1.0
+        elapsed = sum(self.now - c.began for c in self.running) / n or 1.0
+        outlying = [
+            c
+            for c in self.running
+            if not c.answered
+            and (self.now - c.began > OUTLIER * elapsed or c.kb > OUTLIER * kb)
+            and self.now - c.asked > 0.5 * c.group.timeout
+        ]
+        if outlying:
+            worst = max(outlying, key=lambda c: c.cpu / cpu + c.kb / kb + (self.now - c.began) / elapsed)
+            self._step(worst, Word.CUT)
+
+    def _publish(self) -> None:
+        """The value callers hear falls while exchanges wait, unread or held, and recovers by itself."""
+        if self.meaning is Meaning.NONE:
+            return
+        slo = min(g.slo for g in self.groups)
+        strain = (self._wait() + self.unread) / (STRAIN * slo)
+        if strain > 1.0:
+            self.open_to *= 1.0 - 0.15 * min(1.5, strain - 1.0)
+        else:
+            self.open_to *= 1.0 + 0.08 * (1.0 - strain)
+        self.open_to = min(self.open_at_most, max(0.01 * self.open_at_most, self.open_to))
+        value = 0.0 if self.leaving is not None else self.open_to
+        if self.meaning is Meaning.LEVEL:
+            value = 1.0 - value
+        if abs(value - self.said) > 0.02 * self.open_at_most or value * self.said == 0.0:
+            self.said = value
+            self.do(port.Publish(round(value, 4)))
