--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -72,7 +72,6 @@
         self.line: list[Course] = []
         self.run_ms = 0.2 * facts.slo  # mean time of a run, learned
         self.per_hint = 0.0  # run time for each ms of hint, learned
-        self.longest_left = 0.0  # the most patience lately seen: a first try's
         self.credit = 0.0  # turns carried over
 
 
@@ -84,7 +83,6 @@
         left = group.timeout - ex.waited if ex.left is None else ex.left
         self.due = now + max(0.0, left)
         self.reached = now - ex.waited
-        self.asked = self.reached  # when its caller first tried, as far as can be told
         self.kb = ex.kb
         self.wake = 0.0  # its entry in the due times that counts
         self.began = self.cpu = 0.0
@@ -248,7 +246,7 @@
     def _denial(self, c: Course) -> port.Deny:
         """What callers should do instead of asking at once again: nothing elsewhere once others deny too."""
         wait = min(self.wait_limit, max(BEAT, 2.0 * self._wait()))
-        last = self.leaving is None and self.now - c.asked > c.ex.waited + 2 * BEAT
+        last = self.leaving is None and c.ex.retry
         return port.Deny(c.ex, last, self.wait_limit if self.leaving is not None else wait)
 
     # Arrivals: admission on the rolling gauges
@@ -258,11 +256,6 @@
         group = self.groups[ex.group]
         c = ex.course = Course(ex, group, now)
         self.used_kb += ex.kb
-        if ex.left is not None:
-            # A caller that tries again has less patience left than it began with: its first try's age.
-            total = ex.left + ex.waited
-            group.longest_left = min(group.timeout, max(total, group.longest_left - 0.001 * group.timeout))
-            c.asked -= max(0.0, group.longest_left - total)
         if self.shares:
             self.rates[ex.tenant] += 1.0 / 3000.0
         self.unread += 0.1 * (ex.waited - self.unread)
@@ -289,7 +282,7 @@
 
     def _last_use(self, c: Course) -> float:
         """The latest start that can still earn something."""
-        slo = c.asked + c.group.slo + c.group.stretch * self._expected(c)
+        slo = c.reached + c.group.slo + c.group.stretch * self._expected(c)
         use = c.due - self.margin if c.group.late_benefit > 0 else min(slo, c.due - self.margin)
         return use - 0.7 * self._expected(c)
 
@@ -503,7 +496,7 @@
             for c in self.running
             if not c.answered
             and (self.now - c.began > OUTLIER * elapsed or c.kb > OUTLIER * kb)
-            and self.now - c.asked > 0.5 * c.group.timeout
+            and self.now - c.reached > 0.5 * c.group.timeout
         ]
         if outlying:
             worst = max(outlying, key=lambda c: c.cpu / cpu + c.kb / kb + (self.now - c.began) / elapsed)
