Count as waiting only what exceeds the least reading time; floor the published value

Kept: an idle backend must read as idle. The loss is callers that go on to the next backend after a denial, each reading a quarter of the work.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,6 +27,7 @@
 HOLD_PRESSED, HOLD_SIZE = 0.12, 0.35  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
+OPEN_AT_LEAST = 0.04  # of the published value's range
 
 
 class Place(Enum):
@@ -127,7 +128,7 @@
         self.limit = float(self.cores)
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
-        self.unread, self.retried = 0.0, 0.0
+        self.unread, self.reading = 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
         top = {Meaning.CREDIT: 2.0 * self.cores, Meaning.WEIGHT: 1.0, Meaning.LEVEL: 1.0}
@@ -258,7 +259,9 @@
         self.used_kb += ex.kb
         if self.shares:
             self.rates[ex.tenant] += 1.0 / 3000.0
-        self.unread += 0.1 * (ex.waited - self.unread)
+        # Being read takes a while on an idle backend too; only what goes beyond the least seen is waiting.
+        self.reading = min(self.reading, ex.waited)
+        self.unread += 0.1 * (ex.waited - self.reading - self.unread)
         c.value = self._value(c)
         c.steps = self._course(c)
         self._step(c, None)
@@ -511,11 +514,12 @@
         if strain > 1.0:
             self.open_to *= 1.0 - 0.15 * min(1.5, strain - 1.0)
         else:
-            self.open_to *= 1.0 + 0.08 * (1.0 - strain)
-        self.open_to = min(self.open_at_most, max(0.01 * self.open_at_most, self.open_to))
+            self.open_to *= 1.0 + 0.12 * (1.0 - strain)
+        # Callers that hear too little forget what was said and come all at once: never close quite.
+        self.open_to = min(self.open_at_most, max(OPEN_AT_LEAST * self.open_at_most, self.open_to))
         value = 0.0 if self.leaving is not None else self.open_to
         if self.meaning is Meaning.LEVEL:
             value = 1.0 - value
-        if abs(value - self.said) > 0.02 * self.open_at_most or value * self.said == 0.0:
+        if abs(value - self.said) > 0.04 * self.said:
             self.said = value
             self.do(port.Publish(round(value, 4)))
