Ask callers not to try elsewhere while the rolling CPU gauge is high

It should hold against any storm of second tries; it can hurt when only this backend is pressed and others have room.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -247,7 +247,7 @@
     def _denial(self, c: Course) -> port.Deny:
         """What callers should do instead of asking at once again: nothing elsewhere once others deny too."""
         wait = min(self.wait_limit, max(BEAT, 2.0 * self._wait()))
-        last = self.leaving is None and c.ex.retry
+        last = self.leaving is None and self.cpu() > DURESS_CPU
         return port.Deny(c.ex, last, self.wait_limit if self.leaving is not None else wait)
 
     # Arrivals: admission on the rolling gauges
