--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -245,10 +245,12 @@
         return port.Retain(c.ex, span)
 
     def _denial(self, c: Course) -> port.Deny:
-        """What callers should do instead of asking at once again: nothing elsewhere once others deny too."""
-        wait = min(self.wait_limit, max(BEAT, 2.0 * self._wait()))
-        last = self.leaving is None and self.cpu() > DURESS_CPU
-        return port.Deny(c.ex, last, self.wait_limit if self.leaving is not None else wait)
+        """What callers should do instead of asking at once again. Where pressure has lasted, others likely
+        share it: nothing elsewhere. The wait is spread, lest all who heard it come back at one moment."""
+        if self.leaving is not None:
+            return port.Deny(c.ex, False, self.wait_limit)
+        wait = self.chance() * min(self.wait_limit, self._wait() + self.unread)
+        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most, wait)
 
     # Arrivals: admission on the rolling gauges
 
