Try bad health for a backend whose runs and reading got far slower than it knew them

Cause sought: a slow backend that denies fast draws ever more. To be narrowed at once: one long run among few counts as slowness.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,6 +27,7 @@
 HOLD_PRESSED, HOLD_SIZE = 0.25, 0.40  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
+SLOW, SICK, SICK_MS = 1.7, 2.5, 5000.0  # runs this many times longer than usual; how long it stays away
 OPEN_AT_LEAST = 0.04  # of the published value's range
 
 
@@ -71,7 +72,7 @@
         self.slo, self.timeout, self.stretch = facts.slo, facts.timeout, facts.slo_stretch
         self.benefit, self.late_benefit, self.window = facts.benefit, facts.late_benefit, facts.window
         self.line: list[Course] = []
-        self.run_ms = 0.2 * facts.slo  # mean time of a run, learned
+        self.usual, self.runs = 0.2 * facts.slo, 0  # mean time of a run while the backend is well, learned
         self.per_hint = 0.0  # run time for each ms of hint, learned
         self.credit = 0.0  # turns carried over
 
@@ -86,7 +87,7 @@
         self.reached = now - ex.waited
         self.kb = ex.kb
         self.wake = 0.0  # its entry in the due times that counts
-        self.began = self.cpu = 0.0
+        self.began = self.cpu = self.below_ms = 0.0
         self.value = 0.0
         self.answered = False
         self.steps: Steps | None = None
@@ -129,6 +130,7 @@
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.reading = 0.0, float("inf")
+        self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
         top = {Meaning.CREDIT: 2.0 * self.cores, Meaning.WEIGHT: 1.0, Meaning.LEVEL: 1.0}
@@ -153,7 +155,7 @@
                 yield port.Erase(c.ex)
             return (yield self._denial(c))
         if c.repeatable and self.share_for > 0 and c.ex.keyed:
-            yield self._kept(c, self.share_for + c.group.run_ms)
+            yield self._kept(c, self.share_for + 2.0 * c.group.usual)
         word = yield port.Start(c.ex)
         while word is Word.AT_CALL:
             word = yield from self._call_below(c)
@@ -250,7 +252,7 @@
         if self.leaving is not None:
             return port.Deny(c.ex, False, self.wait_limit)
         wait = self.chance() * min(self.wait_limit, self._wait() + self.unread)
-        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most, wait)
+        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and self.slowness < SLOW, wait)
 
     # Arrivals: admission on the rolling gauges
 
@@ -262,7 +264,7 @@
         if self.shares:
             self.rates[ex.tenant] += 1.0 / 3000.0
         # Being read takes a while on an idle backend too; only what goes beyond the least seen is waiting.
-        self.reading = min(self.reading, ex.waited)
+        self.reading, self.waits = min(self.reading, ex.waited), min(self.waits, ex.waited)
         self.unread += 0.1 * (ex.waited - self.reading - self.unread)
         c.value = self._value(c)
         c.steps = self._course(c)
@@ -270,20 +272,19 @@
 
     def _value(self, c: Course) -> float:
         """Benefit for each ms of work, less what its tenant sends beyond our part of its allowance."""
-        value = c.group.benefit if self.by_work else c.group.benefit / c.group.run_ms
+        value = c.group.benefit if self.by_work else c.group.benefit / c.group.usual
         if self.shares:
             within = min(1.0, self.shares[c.ex.tenant] / max(1e-9, self.rates[c.ex.tenant]))
             value *= within + (1.0 - within) * self.over_benefit
         return value
 
     def _expected(self, c: Course) -> float:
-        hinted = c.ex.work_hint * c.group.per_hint
-        return hinted if hinted > 0 else c.group.run_ms
+        return (c.ex.work_hint * c.group.per_hint or c.group.usual) * self.slowness
 
     def _wait(self) -> float:
         """How long one that comes now would stand in the hold."""
-        ahead = sum(g.run_ms * len(g.line) for g in self.groups)
-        return ahead / self._room()
+        ahead = sum(g.usual * len(g.line) for g in self.groups)
+        return ahead * self.slowness / self._room()
 
     def _last_use(self, c: Course) -> float:
         """The latest start that can still earn something."""
@@ -324,6 +325,9 @@
         self.held -= 1
         self._step(c, word)
 
+    def _cold(self) -> bool:
+        return self._warmth() < 1.0
+
     def _warmth(self) -> float:
         if self.cold_from >= 1.0:
             return 1.0
@@ -362,11 +366,7 @@
         if c is None or c.place is Place.OVER:
             return
         if c.place is not Place.JOINED and outcome is Outcome.OK:
-            g = c.group
-            g.run_ms += 0.05 * (took - g.run_ms)
-            if ex.work_hint > 0:
-                ratio = took / ex.work_hint
-                g.per_hint += (0.05 if g.per_hint else 1.0) * (ratio - g.per_hint)
+            self._learn_run(c, took)
         if outcome is Outcome.CANCELLED and not c.answered:
             c.place = Place.HELD  # stopped by none of ours: the answer is still owed
         else:
@@ -374,6 +374,17 @@
         self.running.pop(c, None)
         self._step(c, outcome)
 
+    def _learn_run(self, c: Course, took: float) -> None:
+        g = c.group
+        alone = max(1.0, took - c.below_ms)  # calls are the dependency's time
+        expected = c.ex.work_hint * g.per_hint or g.usual
+        self.slowness += 0.1 * (min(10.0, alone / expected) - self.slowness)
+        if self.slowness < SLOW:
+            g.runs += 1
+            g.usual += max(0.02, 1.0 / g.runs) * (alone - g.usual)
+            if c.ex.work_hint > 0:
+                g.per_hint += max(0.02, 1.0 / g.runs) * (alone / c.ex.work_hint - g.per_hint)
+
     def at_call(self, ex: Exchange, now: float) -> None:
         self.now = now
         if ex.course is not None and ex.course.place is Place.RUNNING:
@@ -388,6 +399,7 @@
             self._push(now + self.call_lingers, -1)
         else:
             self._count_calls(-1)
+        c.below_ms += took
         c.place = Place.RUNNING if outcome is Outcome.OK else Place.AT_CALL
         self._step(c, outcome)
 
@@ -475,6 +487,7 @@
             c.cpu += BEAT * min(1.0, busy * self.cores / len(self.running))
         self._learn_limit(busy)
         self._duress(busy)
+        self._look_after(crowd)
         if self.beats % PUBLISH_BEATS == 0:
             self._publish()
 
@@ -485,6 +498,23 @@
         elif self.on_cores > FILL * self.cores + 0.5:
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
 
+    def _look_after(self, crowd: float) -> None:
+        """Guards against being a sink: one whose runs and reading both got far slower than it has known them
+        denies fast and so draws ever more. It shows bad health for a while, then tries again."""
+        if self.running:
+            stuck = sum((self.now - c.began - c.below_ms) / c.group.usual for c in self.running if c.place is Place.RUNNING)
+            self.slowness = max(self.slowness, min(10.0, stuck / len(self.running)))
+        well = self.sick_until <= 0.0
+        if well and self.slowness > SICK and crowd > 0 and self.waits > 1.5 * self.reading and not self._cold():
+            self.sick_until = self.now + SICK_MS
+            self.do(port.Health(False, True))
+            self.do(port.Log(f"runs take {self.slowness:.1f} times the usual: bad health for a while"))
+        elif not well and self.leaving is None and (self.slowness < SLOW or self.now > self.sick_until):
+            self.sick_until, self.slowness = 0.0, min(self.slowness, SICK)
+            self.do(port.Health(True, True))
+        if self.beats % CPU_SPAN == 0:
+            self.waits = float("inf")
+
     def _duress(self, busy: float) -> None:
         """The source's search backpressure: after three pressed samples the highest score goes."""
         memory = max(self.memory_gauge, self.used_kb / self.memory_kb)
