--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,7 +27,7 @@
 HOLD_PRESSED, HOLD_SIZE = 0.25, 0.40  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
-SLOW, SICK, SICK_MS = 1.7, 2.5, 5000.0  # runs this many times longer than usual; how long it stays away
+SLOW, SICK, SICK_MS = 1.8, 3.0, 5000.0  # runs this many times longer than usual; how long it stays away
 OPEN_AT_LEAST = 0.04  # of the published value's range
 
 
@@ -252,7 +252,7 @@
         if self.leaving is not None:
             return port.Deny(c.ex, False, self.wait_limit)
         wait = self.chance() * min(self.wait_limit, self._wait() + self.unread)
-        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and self.slowness < SLOW, wait)
+        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and self.sick_until <= 0.0, wait)
 
     # Arrivals: admission on the rolling gauges
 
@@ -487,7 +487,7 @@
             c.cpu += BEAT * min(1.0, busy * self.cores / len(self.running))
         self._learn_limit(busy)
         self._duress(busy)
-        self._look_after(crowd)
+        self._look_after()
         if self.beats % PUBLISH_BEATS == 0:
             self._publish()
 
@@ -498,14 +498,15 @@
         elif self.on_cores > FILL * self.cores + 0.5:
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
 
-    def _look_after(self, crowd: float) -> None:
+    def _look_after(self) -> None:
         """Guards against being a sink: one whose runs and reading both got far slower than it has known them
         denies fast and so draws ever more. It shows bad health for a while, then tries again."""
-        if self.running:
-            stuck = sum((self.now - c.began - c.below_ms) / c.group.usual for c in self.running if c.place is Place.RUNNING)
-            self.slowness = max(self.slowness, min(10.0, stuck / len(self.running)))
+        ages = [(self.now - c.began) / c.group.usual for c in self.running if c.place is Place.RUNNING]
+        if len(ages) > 0.5 * self.cores and sum(ages) > SICK * len(ages):
+            self.slowness = max(self.slowness, min(10.0, sum(ages) / len(ages)))  # nothing finishes any more
         well = self.sick_until <= 0.0
-        if well and self.slowness > SICK and crowd > 0 and self.waits > 1.5 * self.reading and not self._cold():
+        slow_reading = self.reading < self.waits / 2.0 < 1e9
+        if well and self.slowness > SICK and slow_reading and not self._cold():
             self.sick_until = self.now + SICK_MS
             self.do(port.Health(False, True))
             self.do(port.Log(f"runs take {self.slowness:.1f} times the usual: bad health for a while"))
