Learn ten runs, and the cold time, before judging slowness

The health defence should hold against slow cores, a hung process, and anything that makes both reading and running slower here alone; it may hurt when a whole fleet slows down at once.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -378,12 +378,14 @@
         g = c.group
         alone = max(1.0, took - c.below_ms)  # calls are the dependency's time
         expected = c.ex.work_hint * g.per_hint or g.usual
-        self.slowness += 0.1 * (min(10.0, alone / expected) - self.slowness)
-        if self.slowness < SLOW:
+        new = self._cold() or g.runs < 10  # the first to finish are the short ones
+        if not new:
+            self.slowness += 0.07 * (min(10.0, alone / expected) - self.slowness)
+        if new or self.slowness < SLOW:
             g.runs += 1
-            g.usual += max(0.02, 1.0 / g.runs) * (alone - g.usual)
+            g.usual += max(0.03, 1.0 / (g.runs + 3)) * (alone - g.usual)
             if c.ex.work_hint > 0:
-                g.per_hint += max(0.02, 1.0 / g.runs) * (alone / c.ex.work_hint - g.per_hint)
+                g.per_hint += max(0.03, 1.0 / g.runs) * (alone / c.ex.work_hint - g.per_hint)
 
     def at_call(self, ex: Exchange, now: float) -> None:
         self.now = now
