--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,6 +27,7 @@
 HOLD_PRESSED, HOLD_SIZE = 0.25, 0.40  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
+STUCK_BEATS = 5
 SLOW, SICK, SICK_MS = 1.8, 3.0, 5000.0  # runs this many times longer than usual; how long it stays away
 OPEN_AT_LEAST = 0.04  # of the published value's range
 
@@ -130,6 +131,7 @@
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.reading = 0.0, float("inf")
+        self.stuck_beats = 0
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
@@ -501,20 +503,20 @@
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
 
     def _look_after(self) -> None:
-        """Guards against being a sink: one whose runs and reading both got far slower than it has known them
-        denies fast and so draws ever more. It shows bad health for a while, then tries again."""
+        """Guards against being a sink: a backend that is far slower than it has known itself, or where nothing
+        finishes any more, denies fast and so draws ever more. It shows bad health a while, then tries again."""
         ages = [(self.now - c.began) / c.group.usual for c in self.running if c.place is Place.RUNNING]
-        if len(ages) > 0.5 * self.cores and sum(ages) > SICK * len(ages):
-            self.slowness = max(self.slowness, min(10.0, sum(ages) / len(ages)))  # nothing finishes any more
-        well = self.sick_until <= 0.0
-        slow_reading = self.reading < self.waits / 2.0 < 1e9
-        if well and self.slowness > SICK and slow_reading and not self._cold():
+        stuck = len(ages) >= 0.5 * self.cores and min(ages) > 1.0 and sum(ages) > SICK * len(ages)
+        self.stuck_beats = self.stuck_beats + 1 if stuck else 0
+        slow = self.slowness > SICK and self.reading < self.waits / 2.0 < 1e9 and not self._cold()
+        if self.sick_until <= 0.0 and (slow or self.stuck_beats >= STUCK_BEATS):
             self.sick_until = self.now + SICK_MS
             self.do(port.Health(False, True))
-            self.do(port.Log(f"runs take {self.slowness:.1f} times the usual: bad health for a while"))
-        elif not well and self.leaving is None and (self.slowness < SLOW or self.now > self.sick_until):
-            self.sick_until, self.slowness = 0.0, min(self.slowness, SICK)
-            self.do(port.Health(True, True))
+            self.do(port.Log(f"{'nothing finishes' if stuck else 'runs and reading are slow'}: bad health"))
+        elif self.sick_until > 0.0 and not stuck and self.leaving is None:
+            if self.slowness < SLOW or self.now > self.sick_until:
+                self.sick_until, self.slowness = 0.0, min(self.slowness, SLOW)
+                self.do(port.Health(True, True))
         if self.beats % CPU_SPAN == 0:
             self.waits = float("inf")
 
