--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -29,7 +29,7 @@
 PUBLISH_BEATS = 3
 STUCK_BEATS = 5
 SLOW, SICK, SICK_MS = 1.8, 3.0, 5000.0  # runs this many times longer than usual; how long it stays away
-OPEN_AT_LEAST = 0.04  # of the published value's range
+PASSED_OVER = 0.35  # part of the traffic that a fleet all as closed as can be still keeps out
 
 
 class Place(Enum):
@@ -138,6 +138,9 @@
         top = {Meaning.CREDIT: 2.0 * self.cores, Meaning.WEIGHT: 1.0, Meaning.LEVEL: 1.0}
         self.open_to, self.said = top.get(self.meaning, 0.0), -1.0
         self.open_at_most = self.open_to
+        # Callers that hear too little forget what was said and come all at once: never close quite.
+        least = {Meaning.CREDIT: 0.3, Meaning.WEIGHT: 1.0 - PASSED_OVER ** (1.0 / max(1, facts.backends))}
+        self.open_at_least = least.get(self.meaning, 0.05)
         self.do(port.Health(True, True))
         self.do(port.Alarm("beat", BEAT))
 
@@ -503,20 +506,22 @@
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
 
     def _look_after(self) -> None:
-        """Guards against being a sink: a backend that is far slower than it has known itself, or where nothing
-        finishes any more, denies fast and so draws ever more. It shows bad health a while, then tries again."""
+        """Guards against being a sink: a backend far slower than it has known itself, or where nothing
+        finishes any more, denies fast and draws ever more. It shows bad health a while, then tries again."""
         ages = [(self.now - c.began) / c.group.usual for c in self.running if c.place is Place.RUNNING]
-        stuck = len(ages) >= 0.5 * self.cores and min(ages) > 1.0 and sum(ages) > SICK * len(ages)
+        mean = sum(ages) / max(1, len(ages))
+        stuck = len(ages) >= 0.5 * self.cores and mean > SICK
         self.stuck_beats = self.stuck_beats + 1 if stuck else 0
+        if self.stuck_beats >= STUCK_BEATS:
+            self.slowness = max(self.slowness, min(10.0, mean))
         slow = self.slowness > SICK and self.reading < self.waits / 2.0 < 1e9 and not self._cold()
         if self.sick_until <= 0.0 and (slow or self.stuck_beats >= STUCK_BEATS):
             self.sick_until = self.now + SICK_MS
             self.do(port.Health(False, True))
             self.do(port.Log(f"{'nothing finishes' if stuck else 'runs and reading are slow'}: bad health"))
-        elif self.sick_until > 0.0 and not stuck and self.leaving is None:
-            if self.slowness < SLOW or self.now > self.sick_until:
-                self.sick_until, self.slowness = 0.0, min(self.slowness, SLOW)
-                self.do(port.Health(True, True))
+        elif self.sick_until > 0.0 and not stuck and (self.slowness < SLOW or self.now > self.sick_until):
+            self.sick_until, self.slowness = 0.0, min(self.slowness, SLOW)
+            self.do(port.Health(self.leaving is None, True))
         if self.beats % CPU_SPAN == 0:
             self.waits = float("inf")
 
@@ -552,8 +557,7 @@
             self.open_to *= 1.0 - 0.15 * min(1.5, strain - 1.0)
         else:
             self.open_to *= 1.0 + 0.12 * (1.0 - strain)
-        # Callers that hear too little forget what was said and come all at once: never close quite.
-        self.open_to = min(self.open_at_most, max(OPEN_AT_LEAST * self.open_at_most, self.open_to))
+        self.open_to = min(self.open_at_most, max(self.open_at_least, self.open_to))
         value = 0.0 if self.leaving is not None else self.open_to
         if self.meaning is Meaning.LEVEL:
             value = 1.0 - value
