--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -131,7 +131,7 @@
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.reading = 0.0, float("inf")
-        self.stuck_beats = 0
+        self.stuck_beats, self.sick_ms = 0, SICK_MS
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
@@ -256,8 +256,9 @@
         share it: nothing elsewhere. The wait is spread, lest all who heard it come back at one moment."""
         if self.leaving is not None:
             return port.Deny(c.ex, False, self.wait_limit)
-        wait = self.chance() * min(self.wait_limit, self._wait() + self.unread)
-        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and self.sick_until <= 0.0, wait)
+        alone = self.sick_until > 0.0  # others are likely to be better off
+        wait = self.wait_limit if alone else self.chance() * min(self.wait_limit, self._wait() + self.unread)
+        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and not alone, wait)
 
     # Arrivals: admission on the rolling gauges
 
@@ -516,11 +517,13 @@
             self.slowness = max(self.slowness, min(10.0, mean))
         slow = self.slowness > SICK and self.reading < self.waits / 2.0 < 1e9 and not self._cold()
         if self.sick_until <= 0.0 and (slow or self.stuck_beats >= STUCK_BEATS):
-            self.sick_until = self.now + SICK_MS
+            self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
             self.do(port.Health(False, True))
             self.do(port.Log(f"{'nothing finishes' if stuck else 'runs and reading are slow'}: bad health"))
         elif self.sick_until > 0.0 and not stuck and (self.slowness < SLOW or self.now > self.sick_until):
-            self.sick_until, self.slowness = 0.0, min(self.slowness, SLOW)
+            if self.slowness < SLOW:
+                self.sick_ms = SICK_MS
+            self.sick_until, self.slowness = 0.0, min(self.slowness, 0.8 * SICK)
             self.do(port.Health(self.leaving is None, True))
         if self.beats % CPU_SPAN == 0:
             self.waits = float("inf")
