--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -143,6 +143,7 @@
         self.open_at_least = least.get(self.meaning, 0.05)
         self.do(port.Health(True, True))
         self.do(port.Alarm("beat", BEAT))
+        self._publish()
 
     # The path of an exchange
 
@@ -560,7 +561,8 @@
             self.open_to *= 1.0 - 0.15 * min(1.5, strain - 1.0)
         else:
             self.open_to *= 1.0 + 0.12 * (1.0 - strain)
-        self.open_to = min(self.open_at_most, max(self.open_at_least, self.open_to))
+        # Reading costs a cold backend several times as much: it asks for its part of the traffic only.
+        self.open_to = max(self.open_at_least, min(self.open_at_most * self._warmth(), self.open_to))
         value = 0.0 if self.leaving is not None else self.open_to
         if self.meaning is Meaning.LEVEL:
             value = 1.0 - value
