--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -24,7 +24,7 @@
 MEMORY_USED, CROWD_USED = 0.92, 0.85  # parts of what a backend survives that decisions use
 CALLS_PER_CORE = 3  # calls in hand with a tier below
 FILL = 1.05  # wanted on the cores, per core
-HOLD_PRESSED, HOLD_SIZE = 0.12, 0.20  # longest wait in the hold, per SLO time
+HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
 STUCK_BEATS = 5
@@ -306,7 +306,11 @@
             return True
         if max(self.memory_gauge, self.used_kb / self.memory_kb) > REFUSE_MEMORY:
             return True
-        share = HOLD_PRESSED if self.held and self.cpu() > REFUSE_CPU else HOLD_SIZE
+        # The dearer reading is beside a run, the more a denial wastes, here and where it is tried next.
+        usual = sum(g.usual for g in self.groups) / len(self.groups)
+        share = HOLD_LEAST + HOLD_READING * min(0.5, self.reading / usual)
+        if not (self.held and self.cpu() > REFUSE_CPU):
+            share *= HOLD_CALM
         if self._wait() <= share * c.group.slo:
             return False
         # The hold is full: of the arrival and all held, the one of least value is turned away.
