--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from heapq import heappop, heappush
 from itertools import count
-from math import exp
+from math import exp, log
 from typing import Any
 
 from myrtlecrank import port
@@ -74,10 +74,30 @@
         self.benefit, self.late_benefit, self.window = facts.benefit, facts.late_benefit, facts.window
         self.line: list[Course] = []
         self.usual, self.runs = 0.2 * facts.slo, 0  # mean time of a run while the backend is well, learned
-        self.per_hint = 0.0  # run time for each ms of hint, learned
+        # Logarithms of hints: mean, spread, and how far run times follow them (0: not at all, 1: in proportion)
+        self.hint, self.hint_spread, self.hint_tells, self.log_usual = 0.0, 1.0, 0.5, 0.0
         self.credit = 0.0  # turns carried over
 
 
+    def weigh_hint(self, hint: float) -> float:
+        """Expected work over the usual. Guards against rough hints: the largest are mostly overstated."""
+        if hint <= 0 or self.hint == 0.0:
+            return 1.0
+        by = self.hint_tells
+        return exp(by * (log(hint) - self.hint) - 0.5 * by * by * self.hint_spread)
+
+    def learn_hint(self, hint: float, took: float, rate: float) -> None:
+        if hint > 0:
+            if self.hint == 0.0:
+                self.hint, self.log_usual = log(hint), log(took)
+            off, long = log(hint) - self.hint, log(took) - self.log_usual
+            self.hint += rate * off
+            self.log_usual += rate * long
+            self.hint_spread += rate * (off * off - self.hint_spread)
+            follows = off * long / max(0.1, self.hint_spread)
+            self.hint_tells = min(1.0, max(0.0, self.hint_tells + 0.3 * rate * (follows - self.hint_tells)))
+
+
 class Course:
     """One exchange on its way through this backend."""
 
@@ -286,7 +306,7 @@
         return value
 
     def _expected(self, c: Course) -> float:
-        return (c.ex.work_hint * c.group.per_hint or c.group.usual) * self.slowness
+        return c.group.usual * self.slowness * c.group.weigh_hint(c.ex.work_hint)
 
     def _wait(self) -> float:
         """How long one that comes now would stand in the hold."""
@@ -388,15 +408,15 @@
     def _learn_run(self, c: Course, took: float) -> None:
         g = c.group
         alone = max(1.0, took - c.below_ms)  # calls are the dependency's time
-        expected = c.ex.work_hint * g.per_hint or g.usual
+        expected = g.usual * g.weigh_hint(c.ex.work_hint)
         new = self._cold() or g.runs < 10  # the first to finish are the short ones
         if not new:
             self.slowness += 0.07 * (min(10.0, alone / expected) - self.slowness)
         if new or self.slowness < SLOW:
             g.runs += 1
-            g.usual += max(0.03, 1.0 / (g.runs + 3)) * (alone - g.usual)
-            if c.ex.work_hint > 0:
-                g.per_hint += max(0.03, 1.0 / g.runs) * (alone / c.ex.work_hint - g.per_hint)
+            rate = max(0.03, 1.0 / (g.runs + 3))
+            g.usual += rate * (alone - g.usual)
+            g.learn_hint(c.ex.work_hint, alone, rate)
 
     def at_call(self, ex: Exchange, now: float) -> None:
         self.now = now
