Count the ends that running work owes: one sign for slow cores and for hangs

Folds the two earlier signs (mean slowness of finished runs, lasting stuck runs) into one count. Holds against anything that makes runs end at under 40% of the known rate; hurts if all exchanges become that much heavier at once, until the usual run is learned anew.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,8 +27,7 @@
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
-STUCK_BEATS = 5
-SLOW, SICK, SICK_MS = 1.8, 3.0, 5000.0  # runs this many times longer than usual; how long it stays away
+SLOW, SICK, SICK_MS = 2.5, 6.0, 5000.0  # times the usual run; ends owed; how long it stays away
 PASSED_OVER = 0.35  # part of the traffic that a fleet all as closed as can be still keeps out
 
 
@@ -74,7 +73,7 @@
         self.benefit, self.late_benefit, self.window = facts.benefit, facts.late_benefit, facts.window
         self.line: list[Course] = []
         self.usual, self.runs = 0.2 * facts.slo, 0  # mean time of a run while the backend is well, learned
-        # Logarithms of hints: mean, spread, and how far run times follow them (0: not at all, 1: in proportion)
+        # Logarithms of hints: mean, spread, how far run times follow them (0: not at all, 1: in proportion)
         self.hint, self.hint_spread, self.hint_tells, self.log_usual = 0.0, 1.0, 0.5, 0.0
         self.credit = 0.0  # turns carried over
 
@@ -151,7 +150,7 @@
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.reading = 0.0, float("inf")
-        self.stuck_beats, self.sick_ms = 0, SICK_MS
+        self.owed, self.ended, self.last_end, self.sick_ms = 0.0, 0, now, SICK_MS
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
@@ -396,6 +395,7 @@
         c: Course | None = ex.course
         if c is None or c.place is Place.OVER:
             return
+        self.ended += c.place is not Place.JOINED
         if c.place is not Place.JOINED and outcome is Outcome.OK:
             self._learn_run(c, took)
         if outcome is Outcome.CANCELLED and not c.answered:
@@ -532,23 +532,23 @@
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
 
     def _look_after(self) -> None:
-        """Guards against being a sink: a backend far slower than it has known itself, or where nothing
-        finishes any more, denies fast and draws ever more. It shows bad health a while, then tries again."""
-        ages = [(self.now - c.began) / c.group.usual for c in self.running if c.place is Place.RUNNING]
-        mean = sum(ages) / max(1, len(ages))
-        stuck = len(ages) >= 0.5 * self.cores and mean > SICK
-        self.stuck_beats = self.stuck_beats + 1 if stuck else 0
-        if self.stuck_beats >= STUCK_BEATS:
-            self.slowness = max(self.slowness, min(10.0, mean))
-        slow = self.slowness > SICK and self.reading < self.waits / 2.0 < 1e9 and not self._cold()
-        if self.sick_until <= 0.0 and (slow or self.stuck_beats >= STUCK_BEATS):
+        """Guards against being a sink: a backend whose cores got far slower, or where nothing finishes, denies
+        fast and draws ever more. Runs owe an end each expected time, stretched by SLOW; once too many
+        are owed it shows bad health a while, then tries again, later each time that fails."""
+        runs = [c for c in self.running if c.place is Place.RUNNING]
+        due = sum(1.0 / (c.group.usual * c.group.weigh_hint(c.ex.work_hint)) for c in runs)
+        self.owed = min(1.5 * SICK, max(0.0, self.owed + due * BEAT / SLOW - self.ended))
+        self.last_end = self.now if self.ended or not runs else self.last_end
+        self.ended = 0
+        slow = self.reading < self.waits / 1.5 < 1e9 or self.now - self.last_end > 10.0 * BEAT
+        if self.sick_until <= 0.0 and self.owed > SICK and slow and not self._cold():
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
+            self.slowness = max(self.slowness, SLOW)
             self.do(port.Health(False, True))
-            self.do(port.Log(f"{'nothing finishes' if stuck else 'runs and reading are slow'}: bad health"))
-        elif self.sick_until > 0.0 and not stuck and (self.slowness < SLOW or self.now > self.sick_until):
-            if self.slowness < SLOW:
-                self.sick_ms = SICK_MS
-            self.sick_until, self.slowness = 0.0, min(self.slowness, 0.8 * SICK)
+            self.do(port.Log("runs hardly end any more: bad health for a while"))
+        elif self.sick_until > 0.0 and (self.owed < 1.0 or self.now > self.sick_until):
+            self.sick_ms = SICK_MS if self.owed < 1.0 else self.sick_ms
+            self.sick_until, self.owed = 0.0, min(self.owed, 0.5 * SICK)
             self.do(port.Health(self.leaving is None, True))
         if self.beats % CPU_SPAN == 0:
             self.waits = float("inf")
