Stay away while all that arrives is stale from waiting to be read

Should hold for any backlog that outlives its cause; hurts if a flood of reading meets a backend that just recovered.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -150,7 +150,8 @@
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.reading = 0.0, float("inf")
-        self.owed, self.ended, self.last_end, self.sick_ms = 0.0, 0, now, SICK_MS
+        self.owed, self.ended, self.ends, self.last_end = 0.0, 0, 0, now
+        self.clogged, self.sick_ms = False, SICK_MS
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
@@ -532,26 +533,31 @@
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
 
     def _look_after(self) -> None:
-        """Guards against being a sink: a backend whose cores got far slower, or where nothing finishes, denies
-        fast and draws ever more. Runs owe an end each expected time, stretched by SLOW; once too many
-        are owed it shows bad health a while, then tries again, later each time that fails."""
+        """Guards against being a sink: a backend whose cores got far slower, or where nothing ends any more,
+        denies fast and draws ever more. Runs owe an end each expected time, stretched by SLOW; once too many
+        are owed it shows bad health a while, then tries again, later each time that fails. One that was sick
+        and still reads far too late, all its time spent on reading what is stale, stays away."""
         runs = [c for c in self.running if c.place is Place.RUNNING]
         due = sum(1.0 / (c.group.usual * c.group.weigh_hint(c.ex.work_hint)) for c in runs)
         self.owed = min(1.5 * SICK, max(0.0, self.owed + due * BEAT / SLOW - self.ended))
         self.last_end = self.now if self.ended or not runs else self.last_end
+        self.ends += self.ended
         self.ended = 0
+        if self.beats % CPU_SPAN == 0:
+            self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9, float("inf")
         slow = self.reading < self.waits / 1.5 < 1e9 or self.now - self.last_end > 10.0 * BEAT
-        if self.sick_until <= 0.0 and self.owed > SICK and slow and not self._cold():
+        slow = (slow and self.owed > SICK) or (self.clogged and self.sick_ms > SICK_MS)
+        if self.sick_until <= 0.0 and slow and not self._cold():
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
-            self.slowness = max(self.slowness, SLOW)
+            self.slowness, self.ends = max(self.slowness, SLOW), 0
             self.do(port.Health(False, True))
             self.do(port.Log("runs hardly end any more: bad health for a while"))
-        elif self.sick_until > 0.0 and (self.owed < 1.0 or self.now > self.sick_until):
-            self.sick_ms = SICK_MS if self.owed < 1.0 else self.sick_ms
-            self.sick_until, self.owed = 0.0, min(self.owed, 0.5 * SICK)
-            self.do(port.Health(self.leaving is None, True))
-        if self.beats % CPU_SPAN == 0:
-            self.waits = float("inf")
+        elif self.sick_until > 0.0 and not self.clogged:
+            well = self.owed < 1.0 and self.ends > SICK
+            if well or self.now > self.sick_until:
+                self.sick_ms = SICK_MS if well else self.sick_ms
+                self.sick_until, self.owed = 0.0, min(self.owed, 0.5 * SICK)
+                self.do(port.Health(self.leaving is None, True))
 
     def _duress(self, busy: float) -> None:
         """The source's search backpressure: after three pressed samples the highest score goes."""
