--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -588,9 +588,12 @@
         slo = min(g.slo for g in self.groups)
         strain = (self._wait() + self.unread) / (STRAIN * slo)
         if strain > 1.0:
-            self.open_to *= 1.0 - 0.15 * min(1.5, strain - 1.0)
+            self.open_to *= 1.0 - 0.15 * min(3.0, strain - 1.0)
         else:
             self.open_to *= 1.0 + 0.12 * (1.0 - strain)
+        if self.meaning is Meaning.CREDIT:
+            # Beyond what is in hand a credit binds nobody, and would take seconds to come down to that.
+            self.open_to = min(self.open_to, 2.0 + self.held + len(self.running))
         # Reading costs a cold backend several times as much: it asks for its part of the traffic only.
         self.open_to = max(self.open_at_least, min(self.open_at_most * self._warmth(), self.open_to))
         value = 0.0 if self.leaving is not None else self.open_to
