Show bad health where only stale arrivals are read and nothing starts

Kept as the plainer sign, whatever fills the backlog; if a whole fleet reads only stale arrivals, it makes callers pause, and each tries again after its time.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -151,7 +151,7 @@
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.reading = 0.0, float("inf")
         self.owed, self.ended, self.ends, self.last_end = 0.0, 0, 0, now
-        self.clogged, self.sick_ms = False, SICK_MS
+        self.clogged, self.useless, self.starts, self.sick_ms = False, False, 0, SICK_MS
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
         self.leaving: float | None = None  # when the notice to leave came
         self.stop_at = float("inf")
@@ -243,6 +243,7 @@
         elif isinstance(want, port.Start):
             c.place, c.began = Place.RUNNING, self.now
             self.running[c] = None
+            self.starts += 1
             self._weigh(c, c.ex.kb * self.run_weight)
             self._wake(c, c.due - self.margin)
         elif isinstance(want, port.Join):
@@ -535,8 +536,8 @@
     def _look_after(self) -> None:
         """Guards against being a sink: a backend whose cores got far slower, or where nothing ends any more,
         denies fast and draws ever more. Runs owe an end each expected time, stretched by SLOW; once too many
-        are owed it shows bad health a while, then tries again, later each time that fails. One that was sick
-        and still reads far too late, all its time spent on reading what is stale, stays away."""
+        are owed it shows bad health a while, then tries again, later each time that fails. So does one that
+        reads only what is stale and starts nothing, and one that was sick and still reads far too late."""
         runs = [c for c in self.running if c.place is Place.RUNNING]
         due = sum(1.0 / (c.group.usual * c.group.weigh_hint(c.ex.work_hint)) for c in runs)
         self.owed = min(1.5 * SICK, max(0.0, self.owed + due * BEAT / SLOW - self.ended))
@@ -545,13 +546,14 @@
         self.ended = 0
         if self.beats % CPU_SPAN == 0:
             self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9, float("inf")
+            self.useless, self.starts = self.clogged and self.starts == 0, 0
         slow = self.reading < self.waits / 1.5 < 1e9 or self.now - self.last_end > 10.0 * BEAT
-        slow = (slow and self.owed > SICK) or (self.clogged and self.sick_ms > SICK_MS)
-        if self.sick_until <= 0.0 and slow and not self._cold():
+        slow = (slow and self.owed > SICK and not self._cold()) or (self.clogged and self.sick_ms > SICK_MS)
+        if self.sick_until <= 0.0 and (slow or self.useless):
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
             self.slowness, self.ends = max(self.slowness, SLOW), 0
             self.do(port.Health(False, True))
-            self.do(port.Log("runs hardly end any more: bad health for a while"))
+            self.do(port.Log("runs hardly end or none starts: bad health for a while"))
         elif self.sick_until > 0.0 and not self.clogged:
             well = self.owed < 1.0 and self.ends > SICK
             if well or self.now > self.sick_until:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -340,9 +340,9 @@
     assert [op.on for op in of(ops, Health)] == [False, True]
 
 
-def test_one_that_was_sick_and_reads_stale_arrivals_stays_away() -> None:
+def test_one_that_reads_only_stale_arrivals_stays_away() -> None:
     controller, ops = backend(group(late_benefit=0.0))
-    controller.reading, controller.sick_ms = 50.0, 10_000.0
+    controller.reading = 50.0
     arrive(controller, 0.0, waited=3000.0)
     now = beats(controller, 0.0, CPU_SPAN)
     assert [op.on for op in of(ops, Health)] == [False]
