--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,6 +27,7 @@
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
+WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 2.5, 6.0, 5000.0  # times the usual run; ends owed; how long it stays away
 PASSED_OVER = 0.35  # part of the traffic that a fleet all as closed as can be still keeps out
 
@@ -133,6 +134,8 @@
         self.margin = BEAT + 2.0 * facts.tick  # an answer is given this long before it is due
         self.can_halt = facts.halting is not Halting.NONE
         self.meaning, self.wait_limit, self.callers = facts.meaning, facts.wait_limit, max(1, facts.callers)
+        # Callers kept away longer forget the published value, and the first to come back bring a burst.
+        self.wait_spread = min(facts.wait_limit, WAIT_HEEDED * facts.heeded)
         self.calls_at_most = 0.0
         if facts.below is Below.SHARED:
             self.calls_at_most = facts.calls_share
@@ -279,7 +282,7 @@
         if self.leaving is not None:
             return port.Deny(c.ex, False, self.wait_limit)
         alone = self.sick_until > 0.0  # others are likely to be better off
-        wait = self.wait_limit if alone else self.chance() * min(self.wait_limit, self._wait() + self.unread)
+        wait = self.wait_limit if alone else self.chance() * min(self.wait_spread, self._wait() + self.unread)
         return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and not alone, wait)
 
     # Arrivals: admission on the rolling gauges
