Keep the least weight higher still: all closed lets 99 percent through

Conclusion: the weight moves traffic between backends; what is too much for all is better turned away at the backends, as final, than by callers that forget.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -29,7 +29,7 @@
 PUBLISH_BEATS = 3
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 2.5, 6.0, 5000.0  # times the usual run; ends owed; how long it stays away
-PASSED_OVER = 0.10  # part of the traffic that a fleet all as closed as can be still keeps out
+PASSED_OVER = 0.01  # part of the traffic that a fleet all as closed as can be still keeps out
 
 
 class Place(Enum):
