--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -29,7 +29,7 @@
 PUBLISH_BEATS = 3
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 2.5, 6.0, 5000.0  # times the usual run; ends owed; how long it stays away
-PASSED_OVER = 0.01  # part of the traffic that a fleet all as closed as can be still keeps out
+LEAST_WEIGHT, LEAST_CREDIT = 0.45, 0.3  # the published value does not fall below these
 
 
 class Place(Enum):
@@ -162,7 +162,7 @@
         self.open_to, self.said = top.get(self.meaning, 0.0), -1.0
         self.open_at_most = self.open_to
         # Callers that hear too little forget what was said and come all at once: never close quite.
-        least = {Meaning.CREDIT: 0.3, Meaning.WEIGHT: 1.0 - PASSED_OVER ** (1.0 / max(1, facts.backends))}
+        least = {Meaning.CREDIT: LEAST_CREDIT, Meaning.WEIGHT: LEAST_WEIGHT}
         self.open_at_least = least.get(self.meaning, 0.05)
         self.do(port.Health(True, True))
         self.do(port.Alarm("beat", BEAT))
