--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -550,18 +550,20 @@
         if self.beats % CPU_SPAN == 0:
             self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9, float("inf")
             self.useless, self.starts = self.clogged and self.starts == 0, 0
-        slow = self.reading < self.waits / 1.5 < 1e9 or self.now - self.last_end > 10.0 * BEAT
+        hung = bool(runs) and self.now - self.last_end > 10.0 * BEAT
+        slow = self.reading < self.waits / 1.5 < 1e9 or hung
         slow = (slow and self.owed > SICK and not self._cold()) or (self.clogged and self.sick_ms > SICK_MS)
         if self.sick_until <= 0.0 and (slow or self.useless):
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
             self.slowness, self.ends = max(self.slowness, SLOW), 0
             self.do(port.Health(False, True))
             self.do(port.Log("runs hardly end or none starts: bad health for a while"))
-        elif self.sick_until > 0.0 and not self.clogged:
+        elif self.sick_until > 0.0 and not self.clogged and not hung:
             well = self.owed < 1.0 and self.ends > SICK
             if well or self.now > self.sick_until:
                 self.sick_ms = SICK_MS if well else self.sick_ms
                 self.sick_until, self.owed = 0.0, min(self.owed, 0.5 * SICK)
+                self.reading = float("inf")  # while the work hung, reading took no time at all
                 self.do(port.Health(self.leaving is None, True))
 
     def _duress(self, busy: float) -> None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -336,8 +336,17 @@
     assert [op.on for op in of(ops, Health)] == [False]
     for ex in exes:
         controller.finished(ex, Outcome.OK, now, now)
+    controller.reading = 1.0
     beats(controller, now + 6000.0, 1)
     assert [op.on for op in of(ops, Health)] == [False, True]
+    assert controller.reading > 1.0
+
+
+def test_no_comeback_while_the_work_still_hangs() -> None:
+    controller, ops = backend(group(timeout=60_000.0))
+    fill(controller, 4, left=60_000.0)
+    beats(controller, 0.0, 200)
+    assert [op.on for op in of(ops, Health)] == [False]
 
 
 def test_one_that_reads_only_stale_arrivals_stays_away() -> None:
