--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -28,7 +28,7 @@
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
-SLOW, SICK, SICK_MS = 2.5, 6.0, 5000.0  # times the usual run; ends owed; how long it stays away
+SLOW, SICK, SICK_MS = 3.5, 5.0, 5000.0  # times the usual run; ends owed; how long it stays away
 LEAST_WEIGHT, LEAST_CREDIT = 0.45, 0.3  # the published value does not fall below these
 
 
