--- a/myrtlecrank/benchlink/host.py
+++ b/myrtlecrank/benchlink/host.py
@@ -18,7 +18,7 @@
         facts = wire.start_facts(event)
         self.number = number
         self.tells_left = facts.tells_left
-        self.groups = len(facts.groups)
+        self.groups, self.tenants = len(facts.groups), len(facts.tenants)
         longest = max((g.timeout + g.window for g in facts.groups), default=0.0)
         self.remembered_for = 2.0 * longest + facts.share_for
         self.exchanges: dict[int, port.Exchange] = {}
@@ -37,7 +37,7 @@
                 del self.ids[ex]
 
     def arrival(self, event: wire.Fields, now: float) -> port.Exchange:
-        ex = wire.exchange(event, self.tells_left, self.groups)
+        ex = wire.exchange(event, self.tells_left, self.groups, self.tenants)
         ident = event.integer("call")
         named = event.integer("earlier", 0)
         if named:
--- a/myrtlecrank/benchlink/wire.py
+++ b/myrtlecrank/benchlink/wire.py
@@ -169,10 +169,13 @@
     )
 
 
-def exchange(event: Fields, tells_left: bool, groups: int) -> port.Exchange:
+def exchange(event: Fields, tells_left: bool, groups: int, tenants: int) -> port.Exchange:
     group = event.integer("priority")
     if not 0 <= group < groups:
         raise WireError(f"{event.where}: the field 'priority' names no category: {group}")
+    tenant = event.integer("clientGroup", 0)
+    if tenants and not 0 <= tenant < tenants:
+        raise WireError(f"{event.where}: the field 'clientGroup' names no tenant: {tenant}")
     left = event.ms("patienceLeft", 0.0)
     return port.Exchange(
         group=group,
@@ -180,7 +183,7 @@
         waited=event.ms("backlogTime", 0.0),
         kb=event.number("memKb", 0.0),
         caller=event.integer("originPeer", 0),
-        tenant=event.integer("clientGroup", 0),
+        tenant=tenant,
         rank=event.number("prio", 0.0),
         retry=event.flag("repeat", False),
         keyed=bool(event.text("object", "")),
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -24,6 +24,7 @@
 MEMORY_USED, CROWD_USED = 0.92, 0.85  # parts of what a backend survives that decisions use
 CALLS_PER_CORE = 3  # calls in hand with a tier below
 FILL = 1.05  # wanted on the cores, per core
+RATE_MS = 3000.0  # over which a tenant's rate is measured
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
@@ -133,7 +134,7 @@
         self.warm_within = facts.warm_within
         self.margin = BEAT + 2.0 * facts.tick  # an answer is given this long before it is due
         self.can_halt = facts.halting is not Halting.NONE
-        self.meaning, self.wait_limit, self.callers = facts.meaning, facts.wait_limit, max(1, facts.callers)
+        self.meaning, self.wait_limit = facts.meaning, facts.wait_limit
         # Callers kept away longer forget the published value, and the first to come back bring a burst.
         self.wait_spread = min(facts.wait_limit, WAIT_HEEDED * facts.heeded)
         self.calls_at_most = 0.0
@@ -145,6 +146,7 @@
         self.calls, self.calls_mean, self.calls_seen = 0, 0.0, now
         self.parked: deque[Course] = deque()  # waiting for room at the dependency
         self.running: dict[Course, None] = {}
+        self.joined: dict[Course, None] = {}
         self.held = 0
         self.used_kb = 0.0
         self.dues: list[tuple[float, int, Any]] = []
@@ -251,6 +253,7 @@
             self._wake(c, c.due - self.margin)
         elif isinstance(want, port.Join):
             c.place = Place.JOINED
+            self.joined[c] = None
             self._wake(c, c.due - self.margin)
         elif isinstance(want, port.Call):
             c.place = Place.CALLING
@@ -264,6 +267,7 @@
         elif c.place is Place.AT_CALL and c in self.parked:
             self.parked.remove(c)
         self.running.pop(c, None)
+        self.joined.pop(c, None)
         self._weigh(c, 0.0)
         c.place, c.wake = Place.OVER, 0.0
 
@@ -293,7 +297,7 @@
         c = ex.course = Course(ex, group, now)
         self.used_kb += ex.kb
         if self.shares:
-            self.rates[ex.tenant] += 1.0 / 3000.0
+            self.rates[ex.tenant] += 1.0 / RATE_MS
         # Being read takes a while on an idle backend too; only what goes beyond the least seen is waiting.
         self.reading, self.waits = min(self.reading, ex.waited), min(self.waits, ex.waited)
         self.unread += 0.1 * (ex.waited - self.reading - self.unread)
@@ -333,7 +337,7 @@
         # The dearer reading is beside a run, the more a denial wastes, here and where it is tried next.
         usual = sum(g.usual for g in self.groups) / len(self.groups)
         share = HOLD_LEAST + HOLD_READING * min(0.5, self.reading / usual)
-        if not (self.held and self.cpu() > REFUSE_CPU):
+        if not (self.held and self._cpu() > REFUSE_CPU):
             share *= HOLD_CALM
         if self._wait() <= share * c.group.slo:
             return False
@@ -345,7 +349,7 @@
         self._leave_line(least, Word.SHED)
         return False
 
-    def cpu(self) -> float:
+    def _cpu(self) -> float:
         return sum(self.cpu_samples) / len(self.cpu_samples) if len(self.cpu_samples) == CPU_SPAN else 0.0
 
     # The hold
@@ -386,12 +390,14 @@
             turn = max(lines, key=lambda g: g.credit)
             c = turn.line[0]
             more = c.ex.kb * (self.run_weight - 1.0)
-            if self.running and self.used_kb + more > MEMORY_USED * self.memory_kb:
+            short = self.used_kb + more > MEMORY_USED * self.memory_kb
+            if short and self.running:
                 return
             turn.credit -= 1.0
             for g in self.groups:
                 g.credit = g.credit if g.line else 0.0
-            self._leave_line(c, Word.TURN)
+            # Nothing runs whose end would make room: what does not fit now never will.
+            self._leave_line(c, Word.SHED if short else Word.TURN)
 
     # Runs and calls
 
@@ -493,7 +499,7 @@
             else:
                 self.used_kb -= what
         if now >= self.stop_at - 2.0 * self.margin:
-            for c in [c for g in self.groups for c in g.line] + list(self.running):
+            for c in [c for g in self.groups for c in g.line] + list(self.running) + list(self.joined):
                 if not c.answered:
                     self._give_up(c, Word.STOP)
         self._start_calls()
@@ -520,16 +526,16 @@
         self.on_cores += 0.1 * (crowd - self.on_cores)
         self.memory_gauge = gauges.memory or 0.0
         self.unread *= 0.98
-        self.rates = [r * (1.0 - BEAT / 3000.0) for r in self.rates]
+        self.rates = [r * (1.0 - BEAT / RATE_MS) for r in self.rates]
         for c in self.running:
             c.cpu += BEAT * min(1.0, busy * self.cores / len(self.running))
-        self._learn_limit(busy)
+        self._learn_limit()
         self._duress(busy)
         self._look_after()
         if self.beats % PUBLISH_BEATS == 0:
             self._publish()
 
-    def _learn_limit(self, busy: float) -> None:
+    def _learn_limit(self) -> None:
         """As many as keep the cores busy without a crowd; waits for disk and calls make room for more."""
         if self.held and self.on_cores < FILL * self.cores:
             self.limit = min(self._ceiling(), self.limit + 0.1)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -148,8 +148,9 @@
 
 
 def test_all_is_answered_before_the_stop() -> None:
-    controller, ops = backend()
+    controller, ops = backend(group(Kind.DEDUPLICATED))
     exes = fill(controller, 6, 0.0)
+    exes.append(arrive(controller, 0.0, earlier=exes[0]))
     controller.leave(1000.0, 0.0)
     controller.settle(850.0)
     assert all(len(answers(ops, ex)) == 1 for ex in exes)
@@ -167,6 +168,12 @@
     assert 1 <= len(of(ops, Start)) <= 3 and of(ops, Deny)
 
 
+def test_what_never_fits_is_denied_not_held() -> None:
+    controller, ops = backend(memory_kb=100.0)
+    ex = arrive(controller, 0.0, kb=20.0)
+    assert of(ops, Deny, ex) and controller.used_kb == 0.0
+
+
 def test_a_cold_backend_starts_fewer_and_ramps() -> None:
     controller, _ = backend(cold=True)
     controller.limit = 100.0
