Make denials final by the mean strain of 3 s, whatever the signal

Cause: with no signal the published value never moved, so that denials were never final; with credits it stood below half almost always. Kept for holding on sites without a signal.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -28,6 +28,7 @@
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
+LASTING = 0.45  # mean strain over about 3 s from which denials are final
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 3.5, 5.0, 5000.0  # times the usual run; ends owed; how long it stays away
 LEAST_WEIGHT, LEAST_CREDIT = 0.45, 0.3  # the published value does not fall below these
@@ -154,7 +155,7 @@
         self.limit = float(self.cores)
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
-        self.unread, self.reading = 0.0, float("inf")
+        self.unread, self.strained, self.reading = 0.0, 0.0, float("inf")
         self.owed, self.ended, self.ends, self.last_end = 0.0, 0, 0, now
         self.clogged, self.useless, self.starts, self.sick_ms = False, False, 0, SICK_MS
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
@@ -287,7 +288,7 @@
             return port.Deny(c.ex, False, self.wait_limit)
         alone = self.sick_until > 0.0  # others are likely to be better off
         wait = self.wait_limit if alone else self.chance() * min(self.wait_spread, self._wait() + self.unread)
-        return port.Deny(c.ex, self.open_to < 0.5 * self.open_at_most and not alone, wait)
+        return port.Deny(c.ex, self.strained > LASTING and not alone, wait)
 
     # Arrivals: admission on the rolling gauges
 
@@ -596,10 +597,11 @@
 
     def _publish(self) -> None:
         """The value callers hear falls while exchanges wait, unread or held, and recovers by itself."""
-        if self.meaning is Meaning.NONE:
-            return
         slo = min(g.slo for g in self.groups)
         strain = (self._wait() + self.unread) / (STRAIN * slo)
+        self.strained += 0.1 * (min(1.0, strain) - self.strained)
+        if self.meaning is Meaning.NONE:
+            return
         if strain > 1.0:
             self.open_to *= 1.0 - 0.15 * min(3.0, strain - 1.0)
         else:
