Learn how full the cores should be from the work that ends

Kept: speed and thrash point are told nowhere. Between bounds, as ended work is noisy over 3 s. Two ways out of the line folded into one.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -23,7 +23,7 @@
 OUTLIER = 2.0  # how many times the mean a running exchange must exceed to be cancelled
 MEMORY_USED, CROWD_USED = 0.92, 0.85  # parts of what a backend survives that decisions use
 CALLS_PER_CORE = 3  # calls in hand with a tier below
-FILL = 1.05  # wanted on the cores, per core
+FILL, FILL_LEAST, FILL_MOST, FILL_STEP, FILL_BEATS = 1.05, 0.95, 1.25, 0.05, 30  # wanted on each core
 RATE_MS = 3000.0  # over which a tenant's rate is measured
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
@@ -153,6 +153,7 @@
         self.dues: list[tuple[float, int, Any]] = []
         self.order = count().__next__
         self.limit = float(self.cores)
+        self.fill, self.fill_step, self.done, self.done_before, self.busy_beats = FILL, FILL_STEP, 0.0, 0.0, 0
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.strained, self.reading = 0.0, 0.0, float("inf")
@@ -347,7 +348,7 @@
         least = min((min(line, key=lambda h: h.value) for line in lines), key=lambda h: h.value)
         if least.value >= 0.8 * c.value:
             return True
-        self._leave_line(least, Word.SHED)
+        self._resume(least, Word.SHED)
         return False
 
     def _cpu(self) -> float:
@@ -360,9 +361,10 @@
         self.held += 1
         self._wake(c, min(c.due - self.margin, self._last_use(c)))
 
-    def _leave_line(self, c: Course, word: Word) -> None:
-        c.group.line.remove(c)
-        self.held -= 1
+    def _resume(self, c: Course, word: Word) -> None:
+        if c in c.group.line:
+            c.group.line.remove(c)
+            self.held -= 1
         self._step(c, word)
 
     def _cold(self) -> bool:
@@ -398,7 +400,7 @@
             for g in self.groups:
                 g.credit = g.credit if g.line else 0.0
             # Nothing runs whose end would make room: what does not fit now never will.
-            self._leave_line(c, Word.SHED if short else Word.TURN)
+            self._resume(c, Word.SHED if short else Word.TURN)
 
     # Runs and calls
 
@@ -421,6 +423,7 @@
         g = c.group
         alone = max(1.0, took - c.below_ms)  # calls are the dependency's time
         expected = g.usual * g.weigh_hint(c.ex.work_hint)
+        self.done += expected
         new = self._cold() or g.runs < 10  # the first to finish are the short ones
         if not new:
             self.slowness += 0.07 * (min(10.0, alone / expected) - self.slowness)
@@ -471,9 +474,7 @@
         c.answered = True
         if c.place in (Place.HELD, Place.JOINED):
             c.steps = None
-            if c in c.group.line:
-                c.group.line.remove(c)
-                self.held -= 1
+            self._resume(c, Word.LATE)
             self._over(c)
         elif c.repeatable and self.can_halt and c.place is Place.RUNNING:
             self.do(port.Halt(ex))
@@ -494,7 +495,7 @@
             at, _, what = heappop(self.dues)
             if isinstance(what, Course):
                 if what.wake == at and not what.answered:
-                    self._give_up(what, Word.LATE)
+                    self._resume(what, Word.LATE)
             elif isinstance(what, int):
                 self._count_calls(what)
             else:
@@ -502,16 +503,10 @@
         if now >= self.stop_at - 2.0 * self.margin:
             for c in [c for g in self.groups for c in g.line] + list(self.running) + list(self.joined):
                 if not c.answered:
-                    self._give_up(c, Word.STOP)
+                    self._resume(c, Word.STOP)
         self._start_calls()
         self._start_held()
 
-    def _give_up(self, c: Course, word: Word) -> None:
-        if c.place is Place.HELD and c in c.group.line:
-            self._leave_line(c, word)
-        else:
-            self._step(c, word)
-
     def leave(self, left: float, now: float) -> None:
         self.now, self.leaving, self.stop_at = now, now, now + left
         self.do(port.Health(False, True))
@@ -537,11 +532,21 @@
             self._publish()
 
     def _learn_limit(self) -> None:
-        """As many as keep the cores busy without a crowd; waits for disk and calls make room for more."""
-        if self.held and self.on_cores < FILL * self.cores:
+        """As many as fill the cores; waits for disk and calls make room for more. How full they should be is
+        learned from the work that ends: a step on while it grows, a step back when it shrinks."""
+        full = self.fill * self.cores
+        if self.held and self.on_cores < full:
             self.limit = min(self._ceiling(), self.limit + 0.1)
-        elif self.on_cores > FILL * self.cores + 0.5:
+        elif self.on_cores > full + 0.5:
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
+        self.busy_beats += self.held > 0
+        if self.beats % FILL_BEATS == 0:
+            if self.busy_beats > 0.7 * FILL_BEATS:
+                if self.done < self.done_before:
+                    self.fill_step = -self.fill_step
+                self.fill = min(FILL_MOST, max(FILL_LEAST, self.fill + self.fill_step))
+                self.done_before = self.done
+            self.done, self.busy_beats = 0.0, 0
 
     def _look_after(self) -> None:
         """Guards against being a sink: a backend whose cores got far slower, or where nothing ends any more,
