--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -125,6 +125,7 @@
         self.do, self.now, self.born = do, now, now
         self.chance = random.Random(facts.seed).random
         self.groups = [Group(g) for g in facts.groups]
+        self.shortest_slo = min(g.slo for g in self.groups)
         self.shares = [t.per_second / 1000.0 / max(1, facts.backends) for t in facts.tenants]
         self.rates = [0.0 for _ in facts.tenants]
         self.over_benefit, self.by_work = facts.over_share_benefit, facts.benefit_by_work
@@ -341,7 +342,7 @@
         share = HOLD_LEAST + HOLD_READING * min(0.5, self.reading / usual)
         if not (self.held and self._cpu() > REFUSE_CPU):
             share *= HOLD_CALM
-        if self._wait() <= share * c.group.slo:
+        if self._wait() <= share * self.shortest_slo:  # one size for all groups, or the hasty starve
             return False
         # The hold is full: of the arrival and all held, the one of least value is turned away.
         lines = [g.line for g in self.groups if g.line]
@@ -602,8 +603,7 @@
 
     def _publish(self) -> None:
         """The value callers hear falls while exchanges wait, unread or held, and recovers by itself."""
-        slo = min(g.slo for g in self.groups)
-        strain = (self._wait() + self.unread) / (STRAIN * slo)
+        strain = (self._wait() + self.unread) / (STRAIN * self.shortest_slo)
         self.strained += 0.1 * (min(1.0, strain) - self.strained)
         if self.meaning is Meaning.NONE:
             return
