--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -31,7 +31,7 @@
 LASTING = 0.45  # mean strain over about 3 s from which denials are final
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 3.5, 5.0, 5000.0  # times the usual run; ends owed; how long it stays away
-LEAST_WEIGHT, LEAST_CREDIT = 0.45, 0.3  # the published value does not fall below these
+LEAST_WEIGHT, LEAST_CREDIT = 0.45, 1.0  # the published value does not fall below these
 
 
 class Place(Enum):
