Close idle connections early while many are open

The idle limit falls by 0.7 every 300 ms while over 8 connections a core idle, and recovers. May hurt where handshakes are dear and callers come back just after the limit.

--- a/myrtlecrank/benchlink/wire.py
+++ b/myrtlecrank/benchlink/wire.py
@@ -166,6 +166,7 @@
         call_lingers=domain.ms("staysFor", 0.0),
         share_for=domain.ms("shareFor", 0.0),
         deep_checks=domain.flag("deepChecks", False),
+        idle=domain.ms("idle", 0.0),
     )
 
 
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -31,6 +31,7 @@
 LASTING = 0.45  # mean strain over about 3 s from which denials are final
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 3.5, 5.0, 5000.0  # times the usual run; ends owed; how long it stays away
+LINKS_PER_CORE = 8.0  # idle connections kept open
 LEAST_WEIGHT, LEAST_CREDIT = 0.45, 1.0  # the published value does not fall below these
 
 
@@ -169,6 +170,7 @@
         # Callers that hear too little forget what was said and come all at once: never close quite.
         least = {Meaning.CREDIT: LEAST_CREDIT, Meaning.WEIGHT: LEAST_WEIGHT}
         self.open_at_least = least.get(self.meaning, 0.05)
+        self.idle = self.idle_most = facts.idle
         self.do(port.Health(True, True))
         self.do(port.Alarm("beat", BEAT))
         self._publish()
@@ -368,9 +370,6 @@
             self.held -= 1
         self._step(c, word)
 
-    def _cold(self) -> bool:
-        return self._warmth() < 1.0
-
     def _warmth(self) -> float:
         if self.cold_from >= 1.0:
             return 1.0
@@ -425,7 +424,7 @@
         alone = max(1.0, took - c.below_ms)  # calls are the dependency's time
         expected = g.usual * g.weigh_hint(c.ex.work_hint)
         self.done += expected
-        new = self._cold() or g.runs < 10  # the first to finish are the short ones
+        new = self._warmth() < 1.0 or g.runs < 10  # the first to finish are the short ones
         if not new:
             self.slowness += 0.07 * (min(10.0, alone / expected) - self.slowness)
         if new or self.slowness < SLOW:
@@ -531,6 +530,12 @@
         self._look_after()
         if self.beats % PUBLISH_BEATS == 0:
             self._publish()
+            # Many callers that seldom come back fill the table: it costs cores, then others find no room.
+            crowded = (gauges.connections or 0.0) > LINKS_PER_CORE * self.cores + self.held + len(self.running)
+            idle = min(self.idle_most, max(BEAT, self.idle * (0.7 if crowded else 1.1)))
+            if idle != self.idle:
+                self.idle = idle
+                self.do(port.IdleLimit(idle))
 
     def _learn_limit(self) -> None:
         """As many as fill the cores; waits for disk and calls make room for more. How full they should be is
@@ -565,7 +570,7 @@
             self.useless, self.starts = self.clogged and self.starts == 0, 0
         hung = bool(runs) and self.now - self.last_end > 10.0 * BEAT
         slow = self.reading < self.waits / 1.5 < 1e9 or hung
-        slow = (slow and self.owed > SICK and not self._cold()) or (self.clogged and self.sick_ms > SICK_MS)
+        slow = (slow and self.owed > SICK and self._warmth() >= 1.0) or (self.clogged and self.sick_ms > SICK_MS)
         if self.sick_until <= 0.0 and (slow or self.useless):
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
             self.slowness, self.ends = max(self.slowness, SLOW), 0
--- a/myrtlecrank/port.py
+++ b/myrtlecrank/port.py
@@ -112,6 +112,7 @@
     call_lingers: float = 0.0
     share_for: float = 0.0  # how long the answer of a read may serve others
     deep_checks: bool = False
+    idle: float = 0.0  # callers close connections that idle this long
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -389,3 +389,14 @@
         controller.finished(ex, Outcome.OK, 300.0, 50.0 * i)
         controller.alarm("beat", BUSY, 50.0 * i)
     assert not of(ops, Health)
+
+
+def test_idle_connections_are_closed_early_only_while_many_are_open() -> None:
+    controller, ops = backend(idle=30_000.0)
+    for beat in range(1, 7):
+        controller.alarm("beat", port.Gauges(connections=500.0), 100.0 * beat)
+    spans = [op.span for op in of(ops, port.IdleLimit)]
+    assert len(spans) == 2 and 30_000.0 > spans[0] > spans[1]
+    for beat in range(7, 60):
+        controller.alarm("beat", port.Gauges(connections=3.0), 100.0 * beat)
+    assert of(ops, port.IdleLimit)[-1].span == 30_000.0
