--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -531,7 +531,8 @@
         if self.beats % PUBLISH_BEATS == 0:
             self._publish()
             # Many callers that seldom come back fill the table: it costs cores, then others find no room.
-            crowded = (gauges.connections or 0.0) > LINKS_PER_CORE * self.cores + self.held + len(self.running)
+            idling = (gauges.connections or 0.0) - self.held - len(self.running)
+            crowded = idling > LINKS_PER_CORE * self.cores
             idle = min(self.idle_most, max(BEAT, self.idle * (0.7 if crowded else 1.1)))
             if idle != self.idle:
                 self.idle = idle
@@ -569,9 +570,8 @@
             self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9, float("inf")
             self.useless, self.starts = self.clogged and self.starts == 0, 0
         hung = bool(runs) and self.now - self.last_end > 10.0 * BEAT
-        slow = self.reading < self.waits / 1.5 < 1e9 or hung
-        slow = (slow and self.owed > SICK and self._warmth() >= 1.0) or (self.clogged and self.sick_ms > SICK_MS)
-        if self.sick_until <= 0.0 and (slow or self.useless):
+        slow = (self.reading < self.waits / 1.5 < 1e9 or hung) and self.owed > SICK and self._warmth() >= 1.0
+        if self.sick_until <= 0.0 and (slow or self.useless or (self.clogged and self.sick_ms > SICK_MS)):
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
             self.slowness, self.ends = max(self.slowness, SLOW), 0
             self.do(port.Health(False, True))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -18,6 +18,7 @@
     Halt,
     Halting,
     Health,
+    IdleLimit,
     Join,
     Kind,
     Meaning,
@@ -394,9 +395,9 @@
 def test_idle_connections_are_closed_early_only_while_many_are_open() -> None:
     controller, ops = backend(idle=30_000.0)
     for beat in range(1, 7):
-        controller.alarm("beat", port.Gauges(connections=500.0), 100.0 * beat)
-    spans = [op.span for op in of(ops, port.IdleLimit)]
+        controller.alarm("beat", Gauges(connections=500.0), 100.0 * beat)
+    spans = [op.span for op in of(ops, IdleLimit)]
     assert len(spans) == 2 and 30_000.0 > spans[0] > spans[1]
     for beat in range(7, 60):
-        controller.alarm("beat", port.Gauges(connections=3.0), 100.0 * beat)
-    assert of(ops, port.IdleLimit)[-1].span == 30_000.0
+        controller.alarm("beat", Gauges(connections=3.0), 100.0 * beat)
+    assert of(ops, IdleLimit)[-1].span == 30_000.0
