--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -23,9 +23,9 @@
 OUTLIER = 2.0  # how many times the mean a running exchange must exceed to be cancelled
 MEMORY_USED, CROWD_USED = 0.92, 0.85  # parts of what a backend survives that decisions use
 CALLS_PER_CORE = 3  # calls in hand with a tier below
-FILL, FILL_LEAST, FILL_MOST, FILL_STEP, FILL_BEATS = 1.05, 0.95, 1.25, 0.05, 30  # wanted on each core
+SPARE, SPARE_LEAST, SPARE_MOST, SPARE_STEP, SPARE_BEATS = 0.7, 0.3, 1.5, 0.3, 30  # wanted beyond one a core
 RATE_MS = 3000.0  # over which a tenant's rate is measured
-HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.08, 0.5, 1.6  # longest wait in the hold, per SLO time
+HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.5, 3.0, 1.6  # longest wait in the hold, per SLO time, times cores
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
 LASTING = 0.45  # mean strain over about 3 s from which denials are final
@@ -154,8 +154,8 @@
         self.used_kb = 0.0
         self.dues: list[tuple[float, int, Any]] = []
         self.order = count().__next__
-        self.limit = float(self.cores)
-        self.fill, self.fill_step, self.done, self.done_before, self.busy_beats = FILL, FILL_STEP, 0.0, 0.0, 0
+        self.limit, self.spare, self.spare_step = float(self.cores), SPARE, SPARE_STEP
+        self.done, self.done_before, self.busy_beats = 0.0, 0.0, 0
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
         self.unread, self.strained, self.reading = 0.0, 0.0, float("inf")
@@ -341,7 +341,7 @@
             return True
         # The dearer reading is beside a run, the more a denial wastes, here and where it is tried next.
         usual = sum(g.usual for g in self.groups) / len(self.groups)
-        share = HOLD_LEAST + HOLD_READING * min(0.5, self.reading / usual)
+        share = (HOLD_LEAST + HOLD_READING * min(0.5, self.reading / usual)) / self.cores
         if not (self.held and self._cpu() > REFUSE_CPU):
             share *= HOLD_CALM
         if self._wait() <= share * self.shortest_slo:  # one size for all groups, or the hasty starve
@@ -541,17 +541,17 @@
     def _learn_limit(self) -> None:
         """As many as fill the cores; waits for disk and calls make room for more. How full they should be is
         learned from the work that ends: a step on while it grows, a step back when it shrinks."""
-        full = self.fill * self.cores
+        full = self.cores + self.spare
         if self.held and self.on_cores < full:
             self.limit = min(self._ceiling(), self.limit + 0.1)
         elif self.on_cores > full + 0.5:
             self.limit = max(0.5 * self.cores, self.limit - 0.1)
         self.busy_beats += self.held > 0
-        if self.beats % FILL_BEATS == 0:
-            if self.busy_beats > 0.7 * FILL_BEATS:
+        if self.beats % SPARE_BEATS == 0:
+            if self.busy_beats > 0.7 * SPARE_BEATS:
                 if self.done < self.done_before:
-                    self.fill_step = -self.fill_step
-                self.fill = min(FILL_MOST, max(FILL_LEAST, self.fill + self.fill_step))
+                    self.spare_step = -self.spare_step
+                self.spare = min(SPARE_MOST, max(SPARE_LEAST, self.spare + self.spare_step))
                 self.done_before = self.done
             self.done, self.busy_beats = 0.0, 0
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -307,12 +307,12 @@
     controller, _ = backend()
     fill(controller, 6)
     controller.beats, controller.busy_beats, controller.done, controller.done_before = 29, 29, 10.0, 9.0
-    start = controller.fill
+    start = controller.spare
     beats(controller, 0.0, 1)
-    up = controller.fill
+    up = controller.spare
     controller.beats, controller.busy_beats, controller.done = 29, 29, 5.0
     beats(controller, 100.0, 1)
-    assert start < up and controller.fill < up
+    assert start < up and controller.spare < up
 
 
 # Defences
