Make every denial of a well backend final

Cause: the hold now bridges passing noise, so a full one speaks of pressure that others share; at size a denied try walked on over up to 14 backends and paid a reading at each. The mean strain that decided so far goes. May hurt where one backend is short and all others idle.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -28,7 +28,6 @@
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.5, 3.0, 1.6  # longest wait in the hold, per SLO time, times cores
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
-LASTING = 0.45  # mean strain over about 3 s from which denials are final
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
 SLOW, SICK, SICK_MS = 3.5, 5.0, 5000.0  # times the usual run; ends owed; how long it stays away
 LINKS_PER_CORE = 8.0  # idle connections kept open
@@ -158,7 +157,7 @@
         self.done, self.done_before, self.busy_beats = 0.0, 0.0, 0
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
-        self.unread, self.strained, self.reading = 0.0, 0.0, float("inf")
+        self.unread, self.reading = 0.0, float("inf")
         self.owed, self.ended, self.ends, self.last_end = 0.0, 0, 0, now
         self.clogged, self.useless, self.starts, self.sick_ms = False, False, 0, SICK_MS
         self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
@@ -286,13 +285,14 @@
         return port.Retain(c.ex, span)
 
     def _denial(self, c: Course) -> port.Deny:
-        """What callers should do instead of asking at once again. Where pressure has lasted, others likely
-        share it: nothing elsewhere. The wait is spread, lest all who heard it come back at one moment."""
+        """What callers should do instead of asking at once again. The hold bridges passing noise: where it
+        is full, others likely are too, and a walk from one to the next costs each a reading. So nothing
+        elsewhere, unless this one is sick. The wait is spread, lest all who heard come back at once."""
         if self.leaving is not None:
             return port.Deny(c.ex, False, self.wait_limit)
         alone = self.sick_until > 0.0  # others are likely to be better off
         wait = self.wait_limit if alone else self.chance() * min(self.wait_spread, self._wait() + self.unread)
-        return port.Deny(c.ex, self.strained > LASTING and not alone, wait)
+        return port.Deny(c.ex, not alone, wait)
 
     # Arrivals: admission on the rolling gauges
 
@@ -609,7 +609,6 @@
     def _publish(self) -> None:
         """The value callers hear falls while exchanges wait, unread or held, and recovers by itself."""
         strain = (self._wait() + self.unread) / (STRAIN * self.shortest_slo)
-        self.strained += 0.1 * (min(1.0, strain) - self.strained)
         if self.meaning is Meaning.NONE:
             return
         if strain > 1.0:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -401,3 +401,13 @@
     for beat in range(7, 60):
         controller.alarm("beat", Gauges(connections=3.0), 100.0 * beat)
     assert of(ops, IdleLimit)[-1].span == 30_000.0
+
+
+def test_denials_are_final_unless_this_backend_alone_is_to_blame() -> None:
+    controller, ops = backend()
+    filled = fill(controller, 40)
+    assert {op.last for op in of(ops, Deny)} == {True} and len(filled) == 40
+    ops.clear()
+    controller.sick_until = 1e9
+    fill(controller, 20)
+    assert {op.last for op in of(ops, Deny)} == {False}
