--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -34,13 +34,9 @@
 LEAST_WEIGHT, LEAST_CREDIT = 0.45, 1.0  # the published value does not fall below these
 
 
-class Place(Enum):
-    HELD = 0
-    RUNNING = 1
-    AT_CALL = 2
-    CALLING = 3
-    JOINED = 4
-    OVER = 5
+Place = Enum("Place", "HELD RUNNING AT_CALL CALLING JOINED OVER")
+# What an exchange waits for without asking for an operation
+Pause = Enum("Pause", "HOLD CALL_ROOM END")
 
 
 class Word(Enum):
@@ -54,14 +50,6 @@
     STOP = 5  # the process is about to be stopped
 
 
-class Pause(Enum):
-    """What an exchange waits for without asking for an operation."""
-
-    HOLD = 0
-    CALL_ROOM = 1
-    END = 2
-
-
 AWAITED = (port.Start, port.Call, port.Skip, port.Join)
 PROVEN_UNRUN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
 Steps = Generator[Any, Any, Any]
@@ -567,7 +555,9 @@
         self.ends += self.ended
         self.ended = 0
         if self.beats % CPU_SPAN == 0:
-            self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9, float("inf")
+            # A crowd beyond runs and a reading a core is handshakes: a storm of callers, and no sickness.
+            crowded = self.on_cores > 2.5 * self.cores
+            self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9 and not crowded, float("inf")
             self.useless, self.starts = self.clogged and self.starts == 0, 0
         hung = bool(runs) and self.now - self.last_end > 10.0 * BEAT
         slow = (self.reading < self.waits / 1.5 < 1e9 or hung) and self.owed > SICK and self._warmth() >= 1.0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -411,3 +411,12 @@
     controller.sick_until = 1e9
     fill(controller, 20)
     assert {op.last for op in of(ops, Deny)} == {False}
+
+
+def test_a_storm_of_handshakes_is_no_sickness() -> None:
+    controller, ops = backend()
+    controller.reading = 50.0
+    arrive(controller, 0.0, left=100.0, waited=3000.0)
+    controller.on_cores = 30.0
+    beats(controller, 0.0, CPU_SPAN, Gauges(1.0, 30.0, 0.1, 50.0))
+    assert not of(ops, Health)
