Deny repeatable runs given up at their due time, finally, instead of failing them

The source answers 429 on any cancellation; so do we now for repeatable exchanges, whatever ends the run. The answer goes out at the same moment as before. May hurt where a run was slow by this backend's fault alone.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -184,7 +184,7 @@
             word = yield from self._call_below(c)
         if isinstance(word, Outcome) and word is not Outcome.CANCELLED:
             return  # its end was its answer
-        yield self._denial(c) if c.repeatable and word is Word.CUT else port.Fail(c.ex)
+        yield self._denial(c) if c.repeatable else port.Fail(c.ex)
         if self.can_halt and c.place in (Place.RUNNING, Place.CALLING):
             yield port.Halt(c.ex)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -420,3 +420,12 @@
     controller.on_cores = 30.0
     beats(controller, 0.0, CPU_SPAN, Gauges(1.0, 30.0, 0.1, 50.0))
     assert not of(ops, Health)
+
+
+@pytest.mark.parametrize(("kind", "answer"), [(Kind.REPEATABLE, Deny), (Kind.MUTATING, Fail)])
+def test_a_run_out_of_time_is_stopped_and_a_repeatable_one_denied(kind: Kind, answer: type) -> None:
+    controller, ops = backend(group(kind))
+    ex = arrive(controller, 0.0)
+    controller.settle(3900.0)
+    assert [type(op) for op in answers(ops, ex)] == [answer]
+    assert of(ops, Halt, ex)
