Start the highest value of a line first, so that tenants within their share go ahead

May hurt an exchange of a tenant beyond its share that is held longest: it is denied when its last use passes.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -374,14 +374,15 @@
         return max(1.0, min(self.limit, self._ceiling()))
 
     def _start_held(self) -> None:
-        """Lines take turns by weight, the value of their first; what a line doesn't get it carries over."""
+        """Lines take turns by the value of their eldest and carry over what they do not get. In a line those
+        of highest value go first, the eldest among equals: tenants within their share before those beyond."""
         while self.held and len(self.running) < self._room():
             lines = [g for g in self.groups if g.line]
             total = sum(g.line[0].value for g in lines) or 1.0
             for g in lines:
                 g.credit += g.line[0].value / total
             turn = max(lines, key=lambda g: g.credit)
-            c = turn.line[0]
+            c = max(turn.line, key=lambda h: h.value)
             more = c.ex.kb * (self.run_weight - 1.0)
             short = self.used_kb + more > MEMORY_USED * self.memory_kb
             if short and self.running:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -27,6 +27,7 @@
     Retain,
     Skip,
     Start,
+    Tenant,
 )
 
 BUSY = Gauges(cpu=1.0, on_cores=6.0, memory=0.1, connections=1.0)
@@ -433,3 +434,14 @@
     controller.settle(3900.0)
     assert [type(op) for op in answers(ops, ex)] == [answer]
     assert of(ops, Halt, ex)
+
+
+def test_of_a_line_the_highest_value_starts_first_and_the_eldest_among_equals() -> None:
+    controller, ops = backend(cores=1, tenants=[Tenant("a", 0.5, 1.0), Tenant("b", 0.5, 1.0)])
+    controller.rates = [0.01, 0.0]
+    fill(controller, 3)
+    within = fill(controller, 2, tenant=1)
+    ops.clear()
+    controller.limit = 2.0
+    controller.settle(1.0)
+    assert [op.ex for op in of(ops, Start)] == within[:1]
