Take a tenant's rate over at least six of its allowed exchanges

Cause: with two cores a small tenant may send one exchange in two seconds; over 3 s its rate was mostly noise and tenants within their share looked over it. The span now follows the number of events allowed: 3 s or six of them. May hurt for a few seconds after a small tenant's flood began or ended.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -24,7 +24,7 @@
 MEMORY_USED, CROWD_USED = 0.92, 0.85  # parts of what a backend survives that decisions use
 CALLS_PER_CORE = 3  # calls in hand with a tier below
 SPARE, SPARE_LEAST, SPARE_MOST, SPARE_STEP, SPARE_BEATS = 0.7, 0.3, 1.5, 0.3, 30  # wanted beyond one a core
-RATE_MS = 3000.0  # over which a tenant's rate is measured
+RATE_MS, RATE_EVENTS = 3000.0, 6.0  # over which a tenant's rate is measured: longer where few may come
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.5, 3.0, 1.6  # longest wait in the hold, per SLO time, times cores
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
@@ -116,6 +116,7 @@
         self.shortest_slo = min(g.slo for g in self.groups)
         self.shares = [t.per_second / 1000.0 / max(1, facts.backends) for t in facts.tenants]
         self.rates = [0.0 for _ in facts.tenants]
+        self.spans = [max(RATE_MS, RATE_EVENTS / max(1e-6, s)) for s in self.shares]
         self.over_benefit, self.by_work = facts.over_share_benefit, facts.benefit_by_work
         self.cores, self.memory_kb, self.run_weight = facts.cores, facts.memory_kb, facts.run_weight
         self.key_kb, self.share_for, self.grace = facts.key_kb, facts.share_for, facts.drain_grace
@@ -292,7 +293,7 @@
         c = ex.course = Course(ex, group, now)
         self.used_kb += ex.kb
         if self.shares:
-            self.rates[ex.tenant] += 1.0 / RATE_MS
+            self.rates[ex.tenant] += 1.0 / self.spans[ex.tenant]
         # Being read takes a while on an idle backend too; only what goes beyond the least seen is waiting.
         self.reading, self.waits = min(self.reading, ex.waited), min(self.waits, ex.waited)
         self.unread += 0.1 * (ex.waited - self.reading - self.unread)
@@ -513,7 +514,7 @@
         self.on_cores += 0.1 * (crowd - self.on_cores)
         self.memory_gauge = gauges.memory or 0.0
         self.unread *= 0.98
-        self.rates = [r * (1.0 - BEAT / RATE_MS) for r in self.rates]
+        self.rates = [r * (1.0 - BEAT / span) for r, span in zip(self.rates, self.spans, strict=True)]
         for c in self.running:
             c.cpu += BEAT * min(1.0, busy * self.cores / len(self.running))
         self._learn_limit()
