--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -26,6 +26,7 @@
 SPARE, SPARE_LEAST, SPARE_MOST, SPARE_STEP, SPARE_BEATS = 0.7, 0.3, 1.5, 0.3, 30  # wanted beyond one a core
 RATE_MS, RATE_EVENTS = 3000.0, 6.0  # over which a tenant's rate is measured: longer where few may come
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.5, 3.0, 1.6  # longest wait in the hold, per SLO time, times cores
+HOLD_MOST = 0.8  # per SLO time, on any number of cores
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
@@ -335,7 +336,8 @@
         share = (HOLD_LEAST + HOLD_READING * min(0.5, self.reading / usual)) / self.cores
         if not (self.held and self._cpu() > REFUSE_CPU):
             share *= HOLD_CALM
-        if self._wait() <= share * self.shortest_slo:  # one size for all groups, or the hasty starve
+        # One size for all groups, or the hasty starve
+        if self._wait() <= min(HOLD_MOST, share) * self.shortest_slo:
             return False
         # The hold is full: of the arrival and all held, the one of least value is turned away.
         lines = [g.line for g in self.groups if g.line]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -453,3 +453,14 @@
     arrive(controller, 0.0)
     arrive(controller, 0.0, tenant=1)
     assert controller.rates[0] == pytest.approx(1 / 3000) and controller.rates[1] == pytest.approx(1 / 12_000)
+
+
+def held_when_full(cores: int, waited: float) -> int:
+    controller, _ = backend(cores=cores)
+    fill(controller, 60, waited=waited)
+    return controller.held
+
+
+def test_the_hold_takes_as_many_on_any_number_of_cores_but_no_more_than_is_of_use() -> None:
+    assert held_when_full(2, 0.0) == held_when_full(6, 0.0) > 2
+    assert held_when_full(1, 100.0) == 5  # 0.8 of the SLO time, where runs take a fifth
