Run at least one exchange a core, however many readings and handshakes stand beside

Symptom: cores full, one in twenty attempts answered, clients try on. Cause, seen in the gauges by second: 3 to 12 wanted on two cores, one of them a run; the limit of runs had shrunk to half the cores on a gauge that counts readings and handshakes too, and what ended fell with it. May hurt where reading is dear and slow.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -534,12 +534,13 @@
 
     def _learn_limit(self) -> None:
         """As many as fill the cores; waits for disk and calls make room for more. How full they should be is
-        learned from the work that ends: a step on while it grows, a step back when it shrinks."""
+        learned from the work that ends: a step on while it grows, a step back when it shrinks. Never under
+        one run a core: in a flood, readings and handshakes would push the runs off the cores."""
         full = self.cores + self.spare
         if self.held and self.on_cores < full:
             self.limit = min(self._ceiling(), self.limit + 0.1)
         elif self.on_cores > full + 0.5:
-            self.limit = max(0.5 * self.cores, self.limit - 0.1)
+            self.limit = max(self.cores, self.limit - 0.1)
         self.busy_beats += self.held > 0
         if self.beats % SPARE_BEATS == 0:
             if self.busy_beats > 0.7 * SPARE_BEATS:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -464,3 +464,9 @@
 def test_the_hold_takes_as_many_on_any_number_of_cores_but_no_more_than_is_of_use() -> None:
     assert held_when_full(2, 0.0) == held_when_full(6, 0.0) > 2
     assert held_when_full(1, 100.0) == 5  # 0.8 of the SLO time, where runs take a fifth
+
+
+def test_readings_and_handshakes_never_push_runs_below_one_a_core() -> None:
+    controller, _ = backend()
+    beats(controller, 0.0, 100, Gauges(1.0, 40.0, 0.1, 50.0))
+    assert controller.limit == 4.0
