--- a/myrtlecrank/benchlink/host.py
+++ b/myrtlecrank/benchlink/host.py
@@ -9,13 +9,14 @@
 from myrtlecrank import port
 from myrtlecrank.benchlink import wire
 from myrtlecrank.logic import Controller
+from myrtlecrank.startfacts import Fields, start_facts
 
 
 class Instance:
     """One backend: its controller, the exchanges it may still be told about, and what it wants done."""
 
-    def __init__(self, number: int, event: wire.Fields, now: float) -> None:
-        facts = wire.start_facts(event)
+    def __init__(self, number: int, event: Fields, now: float) -> None:
+        facts = start_facts(event.inner("conf"), event.integer("rngSeed"))
         self.number = number
         self.tells_left = facts.tells_left
         self.groups, self.tenants = len(facts.groups), len(facts.tenants)
@@ -36,7 +37,7 @@
             if ex is not None:
                 del self.ids[ex]
 
-    def arrival(self, event: wire.Fields, now: float) -> port.Exchange:
+    def arrival(self, event: Fields, now: float) -> port.Exchange:
         ex = wire.exchange(event, self.tells_left, self.groups, self.tenants)
         ident = event.integer("call")
         named = event.integer("earlier", 0)
@@ -48,7 +49,7 @@
         self.ages.append((now, ident))
         return ex
 
-    def event(self, event: wire.Fields, now: float) -> None:
+    def event(self, event: Fields, now: float) -> None:
         name = event.text("msg")
         known = self.exchanges.get(event.integer("call")) if name in ABOUT_ONE else None
         if name == "inbound":
@@ -83,7 +84,7 @@
         self.now: float | None = None
         self.touched: dict[int, Instance] = {}
 
-    def line(self, event: wire.Fields) -> list[bytes] | None:
+    def line(self, event: Fields) -> list[bytes] | None:
         """Takes one line in; at the end of a batch, its reply."""
         name = event.text("msg")
         if name == "turn":
--- a/myrtlecrank/benchlink/wire.py
+++ b/myrtlecrank/benchlink/wire.py
@@ -3,25 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import orjson
 
 from myrtlecrank import port
+from myrtlecrank.startfacts import GAUGES, FieldError, Fields
+
+WireError = FieldError
 
-KINDS = {
-    "read_like": port.Kind.REPEATABLE,
-    "idempotency_key": port.Kind.DEDUPLICATED,
-    "non_idempotent": port.Kind.MUTATING,
-}
-HALTING = {"silent": port.Halting.NONE, "drop": port.Halting.DROP, "pause": port.Halting.PAUSE}
-BELOW = {"silent": port.Below.NONE, "common": port.Below.SHARED, "next_hop": port.Below.TIER}
-MEANINGS = {
-    "silent": port.Meaning.NONE,
-    "min_rank": port.Meaning.LEVEL,
-    "tokens": port.Meaning.CREDIT,
-    "bias": port.Meaning.WEIGHT,
-}
 OUTCOMES = {
     10: port.Outcome.OK,
     20: port.Outcome.ERROR,
@@ -34,60 +23,6 @@
 }
 
 
-class WireError(Exception):
-    """A line that does not keep to the wire."""
-
-
-class Fields:
-    """Typed look-ups in one JSON object; an absent key and null read the same."""
-
-    def __init__(self, values: object, where: str) -> None:
-        if not isinstance(values, dict):
-            raise WireError(f"{where} is not an object")
-        self.values: dict[str, Any] = values
-        self.where = where
-
-    def _get(self, key: str, types: tuple[type, ...], what: str, default: Any) -> Any:
-        value = self.values.get(key)
-        if value is None:
-            if default is None:
-                raise WireError(f"{self.where} lacks the field {key!r}")
-            return default
-        if not isinstance(value, types) or (isinstance(value, bool) and bool not in types):
-            raise WireError(f"{self.where}: the field {key!r} is not {what}")
-        return value
-
-    def integer(self, key: str, default: int | None = None) -> int:
-        return int(self._get(key, (int,), "an integer", default))
-
-    def number(self, key: str, default: float | None = None) -> float:
-        return float(self._get(key, (int, float), "a number", default))
-
-    def ms(self, key: str, default: float | None = None) -> float:
-        return self.number(key, default) / 1000.0
-
-    def flag(self, key: str, default: bool | None = None) -> bool:
-        return bool(self._get(key, (bool,), "true or false", default))
-
-    def text(self, key: str, default: str | None = None) -> str:
-        return str(self._get(key, (str,), "a text", default))
-
-    def items(self, key: str, default: list[Any] | None = None) -> list[Any]:
-        return list(self._get(key, (list,), "a list", default))
-
-    def inner(self, key: str, default: dict[str, Any] | None = None) -> Fields:
-        return Fields(self._get(key, (dict,), "an object", default), f"{self.where}, {key!r}")
-
-    def choice(self, key: str, names: dict[Any, Any], default: Any = None) -> Any:
-        value = self.values.get(key)
-        if value is None and default is not None:
-            return default
-        try:
-            return names[value]
-        except (KeyError, TypeError):
-            raise WireError(f"{self.where}: the field {key!r} has no known value: {value!r}") from None
-
-
 def parse(line: bytes, number: int) -> Fields:
     where = f"line {number}"
     try:
@@ -99,77 +34,6 @@
     return fields
 
 
-def _group(fields: Fields, calls: bool, benefit_without: float) -> port.EndpointGroup:
-    return port.EndpointGroup(
-        name=fields.text("name", ""),
-        kind=fields.choice("effect", KINDS),
-        slo=fields.ms("aim"),
-        timeout=fields.ms("deadline"),
-        benefit=fields.number("worth", 1.0),
-        late_benefit=fields.number("lateWorth", 0.0),
-        window=fields.ms("dedupWindow", 0.0),
-        slo_stretch=fields.number("aimStretch", 0.0),
-        calls=calls,
-        benefit_without=benefit_without,
-    )
-
-
-def start_facts(event: Fields) -> port.StartFacts:
-    conf = event.inner("conf")
-    domain = conf.inner("domain")
-    rules = conf.inner("guarantees")
-    bounds = conf.inner("bounds", {})
-    rows = conf.items("categories")
-    calls = domain.items("callsByClass", [])
-    without = domain.items("worthWithout", [])
-    groups = [
-        _group(
-            Fields(row, f"{conf.where}, category {i}"),
-            bool(calls[i]) if i < len(calls) else False,
-            float(without[i]) if i < len(without) else 0.0,
-        )
-        for i, row in enumerate(rows)
-    ]
-    tenants = [Fields(row, f"{conf.where}, tenant {i}") for i, row in enumerate(conf.items("tenants", []))]
-    return port.StartFacts(
-        seed=event.integer("rngSeed"),
-        groups=groups,
-        cores=domain.integer("cores"),
-        memory_kb=domain.number("memoryKb"),
-        run_weight=domain.number("blowup", 1.0),
-        key_kb=domain.number("keyKb", 0.0),
-        crowd_per_core=rules.number("fallMultiple"),
-        crowd_over=rules.ms("fall"),
-        cold=domain.flag("freshStart", False),
-        cold_from=rules.number("coldFrom", 1.0),
-        warm_within=rules.ms("warmWithin", 0.0),
-        drain_grace=rules.ms("stopSendingWithin", 0.0),
-        answer_slack=rules.ms("answerSlack", 0.0),
-        tick=conf.ms("granularity", 0.0),
-        backends=conf.integer("replicasOfMe", 1),
-        callers=domain.integer("upstreams", 1),
-        tenants=[
-            port.Tenant(row.text("name", ""), row.number("share", 0.0), row.number("allowancePerS", 0.0))
-            for row in tenants
-        ],
-        over_share_benefit=conf.number("overShareWorth", 1.0),
-        benefit_by_work=conf.text("worthBy", "request") == "work",
-        halting=domain.choice("halt", HALTING, port.Halting.NONE),
-        meaning=domain.choice("signal", MEANINGS, port.Meaning.NONE),
-        heeded=domain.ms("heeded", 1_000_000.0),
-        wait_limit=bounds.ms("maxRetryAfter", 0.0) if bounds.flag("retryAfter", False) else 0.0,
-        tells_left=domain.flag("passesDeadline", True),
-        tells_retry=conf.inner("clients", {}).flag("marksRetry", False),
-        below=domain.choice("downstream", BELOW, port.Below.NONE),
-        calls_share=domain.number("depShare", 0.0),
-        calls_over=domain.ms("depWindow", 0.0),
-        call_lingers=domain.ms("staysFor", 0.0),
-        share_for=domain.ms("shareFor", 0.0),
-        deep_checks=domain.flag("deepChecks", False),
-        idle=domain.ms("idle", 0.0),
-    )
-
-
 def exchange(event: Fields, tells_left: bool, groups: int, tenants: int) -> port.Exchange:
     group = event.integer("priority")
     if not 0 <= group < groups:
@@ -199,9 +63,9 @@
 
 def gauges(event: Fields) -> port.Gauges:
     values = event.inner("report", {}).values
-    known = {key: float(value) for key, value in values.items() if isinstance(value, int | float)}
-    names = ("core_use", "on_cores", "heap_share", "links")
-    return port.Gauges(*(known.get(name) for name in names))
+    return port.Gauges(
+        **{GAUGES[k]: float(v) for k, v in values.items() if k in GAUGES and isinstance(v, int | float)}
+    )
 
 
 def us(ms: float) -> int:
--- /dev/null
+++ b/myrtlecrank/core/board.py
@@ -0,0 +1,13 @@
+"""What the module wants callers to hear. Only the module's actor writes here; the fronts read."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Board:
+    well: bool = True
+    value: float | None = None  # the published value
+    idle: float = 0.0  # connections that idle longer are closed; 0: left to the callers
+    leaving: bool = False
--- /dev/null
+++ b/myrtlecrank/core/ends.py
@@ -0,0 +1,40 @@
+"""How a connection can end, on any side of the program, and what that means to the module."""
+
+from __future__ import annotations
+
+import errno
+from enum import Enum
+
+from myrtlecrank.port import Outcome
+
+
+class End(Enum):
+    CLOSED = "closed by the other side"
+    RESET = "reset by the other side"
+    UNREACHED = "could not be opened"
+    SILENT = "no longer answers"
+    STUCK = "no longer reads"
+    BROKEN = "sent what cannot be read"
+    LEFT = "closed by us"
+
+
+OUTCOMES = {
+    End.CLOSED: Outcome.RESET,
+    End.RESET: Outcome.RESET,
+    End.UNREACHED: Outcome.UNREACHED,
+    End.SILENT: Outcome.TIMEOUT,
+    End.STUCK: Outcome.TIMEOUT,
+    End.BROKEN: Outcome.ERROR,
+    End.LEFT: Outcome.CANCELLED,
+}
+
+
+def of_error(error: OSError) -> End:
+    """The end that an error of a socket stands for."""
+    if isinstance(error, TimeoutError):
+        return End.SILENT
+    if error.errno in (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EADDRNOTAVAIL):
+        return End.UNREACHED
+    if error.errno == errno.EBADF:
+        return End.LEFT
+    return End.RESET
--- /dev/null
+++ b/myrtlecrank/core/letters.py
@@ -0,0 +1,117 @@
+"""What the actors tell each other. Times are Unix milliseconds or spans of milliseconds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from myrtlecrank.core.ends import End
+from myrtlecrank.port import Gauges, Outcome
+
+
+class Verdict(Enum):
+    """The one final answer to an exchange."""
+
+    COMPLETED = "completed"
+    DENIED = "denied"
+    TERMINATED = "terminated"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One exchange as a front hands it in; `answer` takes the final answer and must not wait."""
+
+    ident: str
+    group: int
+    tenant: int
+    reached: float  # when it came to the machine
+    wait: float | None  # how long its caller waits from then on, where that is told
+    kb: float
+    rank: float
+    caller: int
+    about: str
+    body: bytes
+    answer: Callable[[Answer], None]
+
+
+@dataclass(slots=True)
+class Answer:
+    ticket: Ticket
+    verdict: Verdict
+    result: bytes = b""
+    wait: float = 0.0  # advice to stay away
+    last: bool = False  # not to be tried elsewhere
+
+
+# To the module's actor
+
+
+@dataclass(slots=True)
+class Arrived:
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class CallersLeft:
+    """The connection on which these were to be answered is gone."""
+
+    tickets: list[Ticket]
+
+
+@dataclass(slots=True)
+class Greeted:
+    """The agent's link stands. The machine came up `up` ms ago, with warm or cold stores."""
+
+    cold: bool
+    up: float
+
+
+@dataclass(slots=True)
+class Parted:
+    """The agent's link is gone."""
+
+    end: End
+
+
+@dataclass(slots=True)
+class RunEnded:
+    ident: str
+    outcome: Outcome
+    took: float
+    result: bytes
+
+
+@dataclass(slots=True)
+class Sampled:
+    tag: str
+    gauges: Gauges
+
+
+@dataclass(slots=True)
+class Leave:
+    """The notice to leave."""
+
+
+# From it to the agent's link
+
+
+@dataclass(slots=True)
+class Launch:
+    ident: str
+    group: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class Freeze:
+    ident: str
+
+
+@dataclass(slots=True)
+class Sample:
+    tag: str
+
+
+Event = Arrived | CallersLeft | Greeted | Parted | RunEnded | Sampled | Leave
+Command = Launch | Freeze | Sample
--- /dev/null
+++ b/myrtlecrank/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The front that speaks frames with the callers."""
--- /dev/null
+++ b/myrtlecrank/edge/caller.py
@@ -0,0 +1,95 @@
+"""The actor of one caller: turns its frames into tickets for the module and answers into frames."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from myrtlecrank.core.board import Board
+from myrtlecrank.core.letters import Answer, Arrived, Ticket, Verdict
+from myrtlecrank.core.mailbox import Mailbox
+from myrtlecrank.edge.connection import Connection
+from myrtlecrank.frames import codec
+
+MAILBOX = 256
+CODES = {
+    Verdict.COMPLETED: codec.COMPLETED,
+    Verdict.DENIED: codec.DENIED,
+    Verdict.TERMINATED: codec.TERMINATED,
+}
+
+
+@dataclass(slots=True)
+class Asked:
+    connection: Connection
+    ask: codec.Ask
+
+
+@dataclass(slots=True)
+class Answered:
+    connection: Connection
+    stream: int
+    answer: Answer
+
+
+class Caller:
+    def __init__(
+        self,
+        groups: dict[str, int],
+        tenants: dict[str, int],
+        tells_left: bool,
+        board: Board,
+        hand_in: Callable[[Arrived], None],
+    ) -> None:
+        self.groups, self.tenants, self.tells_left = groups, tenants, tells_left
+        self.board, self.hand_in = board, hand_in
+        self.connections = 0
+        self.mailbox: Mailbox[Asked | Answered | None] = Mailbox(MAILBOX)
+
+    def run(self) -> None:
+        """Until None comes: then it has no connection any more."""
+        while True:
+            for letter in self.mailbox.take():
+                if letter is None:
+                    return
+                if isinstance(letter, Asked):
+                    self.asked(letter.connection, letter.ask)
+                else:
+                    self.answered(letter.connection, letter.stream, letter.answer)
+
+    def asked(self, connection: Connection, ask: codec.Ask) -> None:
+        if connection.end is not None:
+            return
+        group = self.groups.get(ask.group)
+        tenant = self.tenants.get(ask.tenant or "") if self.tenants else 0
+        if group is None or tenant is None:
+            name = f"endpoint group {ask.group[:40]!r}" if group is None else f"tenant {ask.tenant!r}"
+            connection.spoiled(ask.stream, f"the unknown {name}")
+            return
+        if self.tells_left and ask.wait is None:
+            connection.spoiled(ask.stream, "no time that its caller waits")
+            return
+        ticket = connection.open[ask.stream] = Ticket(
+            ident=ask.ident,
+            group=group,
+            tenant=tenant,
+            reached=ask.reached,
+            wait=ask.wait if self.tells_left else None,
+            kb=ask.kb,
+            rank=ask.rank,
+            caller=ask.caller,
+            about=ask.about or "",
+            body=ask.body,
+            answer=partial(self._post, connection, ask.stream),
+        )
+        self.hand_in(Arrived(ticket))
+
+    def _post(self, connection: Connection, stream: int, answer: Answer) -> None:
+        self.mailbox.post(Answered(connection, stream, answer))
+
+    def answered(self, connection: Connection, stream: int, answer: Answer) -> None:
+        frame = codec.answer(
+            stream, CODES[answer.verdict], self.board.value, answer.wait, answer.last, answer.result
+        )
+        connection.answered(stream, frame)
--- /dev/null
+++ b/myrtlecrank/edge/front.py
@@ -0,0 +1,131 @@
+"""The listener, the connections it accepted and the callers behind them."""
+
+from __future__ import annotations
+
+import errno
+
+import gevent
+from gevent import socket
+from loguru import logger
+
+from myrtlecrank.core.actor import Core, unix_ms
+from myrtlecrank.core.ends import End
+from myrtlecrank.core.letters import CallersLeft, Ticket
+from myrtlecrank.edge.caller import Asked, Caller
+from myrtlecrank.edge.connection import Connection
+from myrtlecrank.frames import codec
+
+BACKLOG = 512
+SPARE_SOCKETS = 64  # left for the agent, the list, files of the interpreter
+FULL_S = 0.05  # pause of the listener while there is no descriptor
+AWAY_MS = 2000.0  # a caller that does not close a connection it was told to leave is gone itself
+
+
+class Front:
+    def __init__(self, address: tuple[str, int], sockets: int, core: Core) -> None:
+        self.core, self.board = core, core.board
+        self.most = max(1, sockets - SPARE_SOCKETS)
+        facts = core.facts
+        self.groups = {group.name: i for i, group in enumerate(facts.groups)}
+        self.tenants = {tenant.name: i for i, tenant in enumerate(facts.tenants)}
+        self.callers: dict[int, Caller] = {}
+        self.connections: dict[Connection, None] = {}  # the one that was idle longest first
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.accepting: gevent.Greenlet | None = None
+        core.on_beat.append(self.sweep)
+        core.on_leave.append(self.leave)
+
+    def run(self) -> None:
+        """Accepts until the notice to leave."""
+        self.accepting = gevent.getcurrent()
+        while not self.board.leaving:
+            if len(self.connections) >= self.most:
+                gevent.sleep(FULL_S)
+                continue
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as error:
+                if self.board.leaving or error.errno == errno.EBADF:
+                    return
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    logger.warning("no descriptor for a new connection")
+                gevent.sleep(FULL_S)
+                continue
+            self.accept(sock)
+
+    def accept(self, sock: socket.socket) -> Connection:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock, self.board, self.asked)
+        connection.last_used = unix_ms()
+        self.connections[connection] = None
+        gevent.spawn(self._serve, connection)
+        return connection
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            connection.run()
+        except Exception:
+            logger.exception("a connection failed")
+        connection.close(End.BROKEN)
+        self.ended(connection)
+
+    def asked(self, connection: Connection, ask: codec.Ask) -> None:
+        connection.last_used = unix_ms()
+        del self.connections[connection]
+        self.connections[connection] = None
+        if connection.caller is None:
+            connection.caller = ask.caller
+            caller = self.callers.get(ask.caller)
+            if caller is None:
+                caller = self.callers[ask.caller] = Caller(
+                    self.groups, self.tenants, self.core.facts.tells_left, self.board, self.core.mailbox.put
+                )
+                gevent.spawn(caller.run)
+            caller.connections += 1
+        self.callers[connection.caller].mailbox.put(Asked(connection, ask))
+
+    def ended(self, connection: Connection) -> None:
+        """Tells the module who has left, and lets the actor of a caller go with its last connection."""
+        self.connections.pop(connection, None)
+        left: list[Ticket] = [ticket for ticket in connection.open.values() if ticket is not None]
+        connection.open.clear()
+        if left:
+            logger.info("a connection {} with {} open", (connection.end or End.LEFT).value, len(left))
+            self.core.mailbox.put(CallersLeft(left))
+        if connection.caller is not None:
+            caller = self.callers[connection.caller]
+            caller.connections -= 1
+            if not caller.connections:
+                del self.callers[connection.caller]
+                caller.mailbox.post(None)
+
+    def sweep(self, now: float) -> None:
+        """Asks callers to close what idles longer than the module allows."""
+        for connection in list(self.connections):
+            idle = now - connection.last_used
+            if self.board.idle <= 0 or idle <= self.board.idle:
+                break
+            if connection.open:
+                continue
+            if connection.away_at is None:
+                connection.tell_away(now)
+            elif now - connection.away_at > AWAY_MS:
+                connection.close(End.LEFT)
+
+    def leave(self) -> None:
+        """No new connection, and no new exchange on those that stand. What the machine has accepted already
+        is ours: it is taken off the listener before that closes, lest it be reset."""
+        if self.accepting is not None:
+            self.accepting.kill(block=False)
+        self.listener.settimeout(0.0)
+        try:
+            while True:
+                self.accept(self.listener.accept()[0])
+        except OSError:
+            self.listener.close()
+        now = unix_ms()
+        for connection in self.connections:
+            connection.tell_away(now)
--- /dev/null
+++ b/myrtlecrank/farm/link.py
@@ -0,0 +1,120 @@
+"""The actor of the agent's link: holds it open, opens it again, and passes commands and notices on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.event import Event as Flag
+from loguru import logger
+
+from myrtlecrank.core.ends import End, of_error
+from myrtlecrank.core.letters import Command, Event, Greeted, Parted, RunEnded, Sampled
+from myrtlecrank.core.mailbox import Mailbox
+from myrtlecrank.farm import lines
+from myrtlecrank.frames.ring import Ring
+from myrtlecrank.port import Gauges, Outcome
+
+FIRST_PAUSE, LONGEST_PAUSE = 0.02, 1.0  # seconds between tries to connect
+CONNECT_S, SILENT_S = 2.0, 3.0  # once greeted the agent is asked often, so it is never silent for long
+MAILBOX = 4096
+
+
+class Link:
+    def __init__(self, address: tuple[str, int], gauges: list[str], tell: Callable[[Event], None]) -> None:
+        self.address, self.gauges, self.tell = address, gauges, tell
+        self.mailbox: Mailbox[Command] = Mailbox(MAILBOX)
+        self.read = 0  # the last notice that was read
+        self.greeted = False
+        self.up = Flag()
+        self.sock: socket.socket | None = None
+
+    def run(self) -> None:
+        """Reads the link for as long as the program lives."""
+        pause = FIRST_PAUSE
+        while True:
+            self.greeted = False
+            end = self._session()
+            if self.greeted:
+                pause = FIRST_PAUSE
+                logger.warning("the agent's link {}", end.value)
+                self.tell(Parted(end))
+            gevent.sleep(pause)
+            pause = min(LONGEST_PAUSE, 2.0 * pause)
+
+    def write(self) -> None:
+        """Writes the commands, many at a time; what finds no link is left to the notices after the next."""
+        while True:
+            wanted = self.mailbox.take()
+            sock = self.sock
+            if sock is None or not self.greeted:
+                continue
+            try:
+                sock.sendall(b"".join(map(lines.command, wanted)))
+            except OSError as error:
+                self._drop(of_error(error))
+
+    def _drop(self, end: End) -> None:
+        logger.warning("writing to the agent: {}", end.value)
+        if self.sock is not None:
+            self.sock.close()  # the reader wakes and opens another
+
+    def _session(self) -> End:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(CONNECT_S)
+            sock.connect(self.address)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.sendall(lines.subscribe(self.read))
+            sock.settimeout(None)  # the machine may come up long after this
+            self.sock = sock
+            return self._notices(sock, Ring())
+        except OSError as error:
+            return of_error(error)
+        except lines.Broken as error:
+            logger.error("the agent sent {}", error)
+            return End.BROKEN
+        finally:
+            self.sock = None
+            sock.close()
+
+    def _notices(self, sock: socket.socket, ring: Ring) -> End:
+        while True:
+            count = sock.recv_into(ring.room())
+            if count == 0:
+                return End.CLOSED
+            ring.wrote(count)
+            for notice in lines.notices(ring):
+                if isinstance(notice, lines.Greeting) and not self.greeted:
+                    self.greeted = True
+                    sock.settimeout(SILENT_S)
+                self.notice(notice)
+
+    def notice(self, notice: lines.Notice) -> None:
+        match notice:
+            case lines.Greeting(cold, up):
+                self.tell(Greeted(cold, up))
+            case lines.Ended(number, ident, outcome, took, result):
+                if self._new(number):
+                    self.tell(RunEnded(ident, outcome, took, result))
+            case lines.Gauged(tag, values):
+                named = {n: v for n, v in zip(self.gauges, values, strict=False) if n}
+                self.tell(Sampled(tag, Gauges(**named)))
+            case lines.Refused(command, ident):
+                logger.warning("the agent refused to {} {}", command, ident)
+                # A launch that was refused ran nothing; a run that it does not know has ended.
+                if command in ("launch", "freeze"):
+                    outcome = Outcome.MOOT if command == "launch" else Outcome.CANCELLED
+                    self.tell(RunEnded(ident, outcome, 0.0, b""))
+            case lines.Aside(number):
+                self._new(number)
+            case lines.Unknown(line):
+                logger.warning("a notice that is not known: {!r}", line[:120])
+
+    def _new(self, number: int) -> bool:
+        """Guards against notices that come once more after a link was opened again."""
+        if number <= self.read:
+            return False
+        self.read = number
+        return True
--- /dev/null
+++ b/myrtlecrank/orders.py
@@ -0,0 +1,93 @@
+"""What the platform tells a backend at its start."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass
+
+from myrtlecrank.port import Below, StartFacts
+from myrtlecrank.startfacts import FieldError, Fields, gauge_names, start_facts
+
+PATH_VARIABLE = "PROXY_CONFIG"
+
+
+class OrdersError(Exception):
+    """The configuration is missing or makes no sense; the text is one plain line."""
+
+
+@dataclass(slots=True)
+class Orders:
+    name: str
+    listen: tuple[str, int]
+    agent: tuple[str, int]
+    members: tuple[str, int]
+    stop_ms: float
+    sockets: int
+    facts: StartFacts
+    gauges: list[str]
+
+
+def _address(fields: Fields, key: str) -> tuple[str, int]:
+    text = fields.text(key)
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(p.isdigit() and int(p) < 256 for p in parts):
+        raise FieldError(f"{fields.where}: {key!r} is not an IPv4 address with a port: {text!r}")
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise FieldError(f"{fields.where}: {key!r} has no usable port: {text!r}")
+    return host, int(port)
+
+
+def _seed(fields: Fields) -> int:
+    text = fields.text("seed")
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise FieldError(f"{fields.where}: 'seed' is not hexadecimal: {text!r}") from None
+
+
+def _positive(fields: Fields, key: str) -> float:
+    value = fields.number(key)
+    if not value > 0:
+        raise FieldError(f"{fields.where}: {key!r} is not above 0")
+    return value
+
+
+def read(path: str | None = None) -> Orders:
+    """Reads the file, or the one that the environment names; raises OrdersError."""
+    path = path or os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise OrdersError(f"no configuration: {PATH_VARIABLE} is not set and no file is named")
+    try:
+        with open(path, "rb") as file:
+            values = json.loads(file.read())
+    except OSError as error:
+        raise OrdersError(f"{path} cannot be read: {error.strerror}") from None
+    except ValueError as error:
+        raise OrdersError(f"{path} is not JSON: {error}") from None
+    try:
+        return parse(Fields(values, path))
+    except FieldError as error:
+        raise OrdersError(str(error)) from None
+
+
+def parse(fields: Fields) -> Orders:
+    conf = fields.inner("settings")
+    facts = start_facts(conf, _seed(fields))
+    if not facts.groups or facts.cores < 1 or facts.memory_kb <= 0:
+        raise FieldError(f"{conf.where}: needs at least one category, one core and some memory")
+    if any(not 0 < group.slo <= group.timeout for group in facts.groups):
+        raise FieldError(f"{conf.where}: an aim must be above 0 and within its deadline")
+    if facts.below is not Below.NONE:
+        raise FieldError(f"{conf.where}: a layer below is not served on sockets yet")
+    return Orders(
+        name=fields.text("name"),
+        listen=_address(fields, "listen"),
+        agent=_address(fields, "agent"),
+        members=_address(fields, "members"),
+        stop_ms=_positive(fields, "stop_ms"),
+        sockets=int(_positive(fields.inner("limits"), "sockets")),
+        facts=facts,
+        gauges=gauge_names(conf),
+    )
--- /dev/null
+++ b/myrtlecrank/roll/__init__.py
@@ -0,0 +1,1 @@
+"""The membership list that callers find this backend by."""
--- /dev/null
+++ b/myrtlecrank/roll/actor.py
@@ -0,0 +1,105 @@
+"""The actor of the membership list: reports UP or OUT, again and again, and at once on a change."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import httptools
+from gevent import socket
+from loguru import logger
+
+from myrtlecrank.core.ends import End, of_error
+from myrtlecrank.core.mailbox import Mailbox
+
+EVERY_MS = 800.0  # an entry lapses 3 s after its last report
+CALL_S = 1.0
+
+
+class _Reply:
+    """Takes in one answer."""
+
+    def __init__(self) -> None:
+        self.whole = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+
+class Roll:
+    def __init__(self, address: tuple[str, int], name: str) -> None:
+        self.address, self.name = address, name
+        self.mailbox: Mailbox[bool] = Mailbox(64)
+        self.well: bool | None = None  # nothing is reported before the start
+        self.told: bool | None = None  # what the list has last confirmed
+        self.sock: socket.socket | None = None
+        self.failing = False
+
+    def run(self) -> None:
+        due = 0.0
+        while True:
+            wait = None if self.well is None else max(0.0, due - time.monotonic() * 1000.0)
+            news = self.mailbox.take(wait)
+            if news:
+                self.well = news[-1]
+            due = time.monotonic() * 1000.0 + EVERY_MS
+            if self.well is not None and not self.report(self.well):
+                due = time.monotonic() * 1000.0 + 0.25 * EVERY_MS
+
+    def report(self, well: bool) -> bool:
+        """One call, on the connection of the last if it still stands."""
+        end: End | None = End.CLOSED
+        fresh = self.sock is None
+        with gevent.Timeout(CALL_S, False):
+            end = self._call(well)
+            if end in (End.CLOSED, End.RESET) and not fresh:
+                end = self._call(well)  # the list had closed the idle connection
+            if end is None:
+                self._note(None)
+                self.told = well
+                return True
+            self._note(end)
+            return False
+        self._close()
+        self._note(End.SILENT)
+        return False
+
+    def _call(self, well: bool) -> End | None:
+        body = b'{"phase":"%b"}' % (b"UP" if well else b"OUT")
+        head = f"PUT /members/{self.name} HTTP/1.1\r\nHost: members\r\nContent-Length: {len(body)}\r\n\r\n"
+        reply = _Reply()
+        try:
+            if self.sock is None:
+                self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                self.sock.connect(self.address)
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.sock.sendall(head.encode() + body)
+            while not reply.whole:
+                data = self.sock.recv(4096)
+                if not data:
+                    self._close()
+                    return End.CLOSED
+                reply.parser.feed_data(data)
+            if not reply.parser.should_keep_alive():
+                self._close()
+            return None if reply.parser.get_status_code() == 204 else End.BROKEN
+        except OSError as error:
+            self._close()
+            return of_error(error)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._close()
+            return End.BROKEN
+
+    def _close(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+    def _note(self, end: End | None) -> None:
+        """One line when the list goes away, one when it is back."""
+        if end is not None and not self.failing:
+            logger.warning("the membership list: {}", end.value)
+        elif end is None and self.failing:
+            logger.info("the membership list answers again")
+        self.failing = end is not None
--- /dev/null
+++ b/myrtlecrank/serve.py
@@ -0,0 +1,77 @@
+"""Starts the actors of one backend and waits for its end."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event as Flag
+from loguru import logger
+
+from myrtlecrank.core.actor import Core, unix_ms
+from myrtlecrank.core.letters import Leave
+from myrtlecrank.edge.front import Front
+from myrtlecrank.farm.link import Link
+from myrtlecrank.orders import Orders
+from myrtlecrank.roll.actor import Roll
+
+FAILED = 70  # exit code after an error of our own
+LOOK_S = 0.02  # how often a leaving process looks whether all is done
+LAST_MS = 60.0  # before the process is stopped, it ends by itself
+
+
+def log_to_stderr() -> None:
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
+               diagnose=False)
+
+
+def serve(orders: Orders) -> int:
+    """Runs one backend until the notice to leave has been followed; its exit code."""
+    log_to_stderr()
+    # The numeric addresses need no look-up, and so no threads for it.
+    gevent.config.resolver = "block"
+    link: Link
+    roll = Roll(orders.members, orders.name)
+    core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.mailbox.post)
+    link = Link(orders.agent, orders.gauges, core.mailbox.post)
+    front = Front(orders.listen, orders.sockets, core)
+    over, code = Flag(), [0]
+
+    def actor(work: Callable[[], object]) -> None:
+        """Guards against a half-dead process: an actor that fails ends the whole."""
+        try:
+            work()
+        except Exception:
+            logger.exception("{} failed", getattr(work, "__qualname__", work))
+            code[0] = FAILED
+            over.set()
+
+    def leave() -> None:
+        logger.info("notice to leave, {} exchanges in hand", core.unanswered)
+        core.mailbox.post(Leave())
+
+    def watch_leaving() -> None:
+        while core.stop_at is None:
+            core_left.wait()
+        while unix_ms() < core.stop_at - LAST_MS:
+            if not core.unanswered and not front.connections and roll.told is False:
+                break
+            gevent.sleep(LOOK_S)
+        logger.info("leaves with {} exchanges, {} connections", core.unanswered, len(front.connections))
+        over.set()
+
+    core_left = Flag()
+    core.on_leave.append(core_left.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, leave)
+    for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
+        gevent.spawn(actor, work)
+    logger.info("{} listens on {}:{}", orders.name, *orders.listen)
+    gc.collect()
+    gc.freeze()
+    over.wait()
+    return code[0]
