--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -34,13 +34,17 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.accepting: gevent.Greenlet | None = None
+        self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
         core.on_beat.append(self.sweep)
         core.on_leave.append(self.leave)
 
     def run(self) -> None:
         """Accepts until the notice to leave."""
-        self.accepting = gevent.getcurrent()
+        self.accepting = gevent.spawn(self._accept)
+        self.accepting.join()
+        self.accepting.get()
+
+    def _accept(self) -> None:
         while not self.board.leaving:
             if len(self.connections) >= self.most:
                 gevent.sleep(FULL_S)
--- a/myrtlecrank/roll/actor.py
+++ b/myrtlecrank/roll/actor.py
@@ -49,21 +49,19 @@
 
     def report(self, well: bool) -> bool:
         """One call, on the connection of the last if it still stands."""
-        end: End | None = End.CLOSED
         fresh = self.sock is None
-        with gevent.Timeout(CALL_S, False):
-            end = self._call(well)
-            if end in (End.CLOSED, End.RESET) and not fresh:
-                end = self._call(well)  # the list had closed the idle connection
-            if end is None:
-                self._note(None)
-                self.told = well
-                return True
-            self._note(end)
-            return False
-        self._close()
-        self._note(End.SILENT)
-        return False
+        try:
+            with gevent.Timeout(CALL_S, TimeoutError):
+                end = self._call(well)
+                if end in (End.CLOSED, End.RESET) and not fresh:
+                    end = self._call(well)  # the list had closed the idle connection
+        except TimeoutError:
+            self._close()
+            end = End.SILENT
+        self._note(end)
+        if end is None:
+            self.told = well
+        return end is None
 
     def _call(self, well: bool) -> End | None:
         body = b'{"phase":"%b"}' % (b"UP" if well else b"OUT")
