--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,10 +1,13 @@
-"""Builds controllers in a known state; `ops` collects what they ask for."""
+"""Builds controllers and the module's actor in a known state, and what is said to them."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from myrtlecrank import port
+from myrtlecrank.core.actor import Core
+from myrtlecrank.core.letters import Answer, Arrived, Greeted, Ticket
+from myrtlecrank.frames import codec
 from myrtlecrank.logic import Controller
 
 
@@ -14,20 +17,21 @@
     return port.EndpointGroup("group", kind, **(values | facts))
 
 
-def backend(*groups: port.EndpointGroup, **facts: Any) -> tuple[Controller, list[Any]]:
-    values: dict[str, Any] = {
-        "seed": 1, "cores": 4, "memory_kb": 10_000.0, "run_weight": 10.0, "key_kb": 1.0,
-        "crowd_per_core": 5.0, "crowd_over": 2000.0, "cold": False, "cold_from": 0.2, "warm_within": 10_000.0,
-        "drain_grace": 1000.0, "answer_slack": 60.0, "tick": 2.0,
-        "halting": port.Halting.DROP, "wait_limit": 1000.0,
-    }
+def backend(*groups: port.EndpointGroup, **others: Any) -> tuple[Controller, list[Any]]:
     ops: list[Any] = []
-    start = port.StartFacts(groups=list(groups) or [group()], **(values | facts))
-    controller = Controller(start, ops.append, 0.0)
+    controller = Controller(facts(*groups, **others), ops.append, 0.0)
     ops.clear()
     return controller, ops
 
 
+FACTS: dict[str, Any] = {
+    "seed": 1, "cores": 4, "memory_kb": 10_000.0, "run_weight": 10.0, "key_kb": 1.0,
+    "crowd_per_core": 5.0, "crowd_over": 2000.0, "cold": False, "cold_from": 0.2, "warm_within": 10_000.0,
+    "drain_grace": 1000.0, "answer_slack": 60.0, "tick": 2.0,
+    "halting": port.Halting.DROP, "wait_limit": 1000.0,
+}
+
+
 def arrival(left: float | None = 4000.0, kb: float = 10.0, **facts: Any) -> port.Exchange:
     return port.Exchange(**({"group": 0, "left": left, "waited": 0.0, "kb": kb} | facts))
 
@@ -45,3 +49,45 @@
 
 def answers(ops: list[Any], ex: port.Exchange) -> list[Any]:
     return of(ops, port.Deny, ex) + of(ops, port.Fail, ex)
+
+
+def facts(*groups: port.EndpointGroup, **others: Any) -> port.StartFacts:
+    return port.StartFacts(groups=list(groups) or [group()], **(FACTS | others))
+
+
+class Play:
+    """The module's actor with its agent and list played by hand."""
+
+    def __init__(self, *groups: port.EndpointGroup, greeted: bool = True, **others: Any) -> None:
+        self.commanded: list[Any] = []
+        self.health: list[bool] = []
+        self.answers: list[Answer] = []
+        told = facts(*groups, **others)
+        self.core = Core(told, 3200.0, self.commanded.append, self.health.append, now=0.0)
+        if greeted:
+            self.turn(0.0, Greeted(False, 1000.0))
+
+    def turn(self, now: float, *letters: Any) -> None:
+        self.core.turn(list(letters), now)
+
+    def ask(self, ident: str, now: float, **changes: Any) -> Ticket:
+        values: dict[str, Any] = {"group": 0, "tenant": 0, "reached": now, "wait": 4000.0, "kb": 10.0}
+        values |= {"rank": 0.0, "caller": 1, "about": "", "body": b"body", "answer": self.answers.append}
+        ticket = Ticket(ident, **(values | changes))
+        self.turn(now, Arrived(ticket))
+        return ticket
+
+    def commands(self, kind: type) -> list[Any]:
+        return [command for command in self.commanded if isinstance(command, kind)]
+
+
+def ask_bytes(stream: int, body: bytes = b"body", doubled: str = "", **changes: str | None) -> bytes:
+    """A frame with an exchange as a caller sends it."""
+    values = {"c": "group", "i": f"{stream:016x}", "s": "1764576000123", "f": "4", "t": "acme", "d": "480"}
+    values |= {"m": "24.5", "p": "0.625"}
+    rows = [(k, v) for k, v in (values | changes).items() if v is not None]
+    rows += [(k, v) for k, v in rows if k == doubled]
+    payload = bytes([len(rows)])
+    for name, value in rows:
+        payload += bytes([len(name)]) + name.encode() + len(value).to_bytes(2, "little") + value.encode()
+    return codec._frame(codec.ASK, stream, payload + body)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,169 @@
+"""The module's actor, without sockets: one answer to each exchange, timers, links, drain, repeats."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import Play, group
+
+from myrtlecrank.core.ends import End
+from myrtlecrank.core.letters import (
+    CallersLeft,
+    Freeze,
+    Greeted,
+    Launch,
+    Leave,
+    Parted,
+    RunEnded,
+    Sample,
+    Sampled,
+    Verdict,
+)
+from myrtlecrank.port import Gauges, Kind, Outcome
+
+
+def test_a_run_brings_its_result_to_the_caller_once() -> None:
+    play = Play()
+    play.ask("aa", 0.0)
+    assert play.commands(Launch) == [Launch("aa", "group", b"body")]
+    play.turn(50.0, RunEnded("aa", Outcome.OK, 50.0, b"result"), RunEnded("aa", Outcome.OK, 50.0, b"again"))
+    assert [(a.verdict, a.result) for a in play.answers] == [(Verdict.COMPLETED, b"result")]
+    assert not play.core.table and not play.core.entries and play.core.unanswered == 0
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.CANCELLED, Outcome.MOOT])
+def test_a_run_without_a_result_is_answered_too(outcome: Outcome) -> None:
+    play = Play()
+    play.ask("aa", 0.0)
+    play.turn(50.0, RunEnded("aa", outcome, 50.0, b""))
+    assert [a.verdict for a in play.answers] == [Verdict.TERMINATED] and not play.core.table
+
+
+def test_time_on_the_way_to_the_module_counts_as_waited() -> None:
+    play = Play()
+    play.ask("aa", 700.0, reached=200.0, wait=1000.0)
+    (ex,) = play.core.entries
+    assert ex.waited == 500.0 and ex.left == 500.0
+
+
+def test_a_clock_that_steps_back_does_not_turn_the_module_back() -> None:
+    play = Play()
+    play.turn(5000.0)
+    play.ask("aa", 100.0, reached=4990.0)
+    assert play.core.now == 5000.0 and play.core.controller and play.core.controller.now == 5000.0
+
+
+def test_due_times_hold_while_the_agent_is_silent() -> None:
+    play = Play()
+    play.ask("aa", 0.0, wait=1000.0)
+    for now in range(10, 1001, 10):
+        play.turn(float(now))
+        if play.answers:
+            break
+    assert now < 1000 and play.answers[0].verdict is not Verdict.COMPLETED
+    assert play.commands(Freeze) == [Freeze("aa")]
+    play.turn(1100.0, RunEnded("aa", Outcome.CANCELLED, 1090.0, b""))
+    assert len(play.answers) == 1 and not play.core.table
+
+
+def test_gauges_are_the_beat_and_late_ones_do_not_hold_it_up() -> None:
+    play = Play()
+    controller = play.core.controller
+    assert controller
+    play.turn(100.0)
+    (sample,) = play.commands(Sample)
+    assert controller.beats == 0
+    play.turn(104.0, Sampled(sample.tag, Gauges(0.5)))
+    assert controller.beats == 1 and play.core.alarm_due == 200.0
+    play.turn(200.0)
+    play.turn(300.0)
+    assert controller.beats == 2
+    play.turn(301.0, Sampled(play.commands(Sample)[1].tag, Gauges(0.5)))
+    assert controller.beats == 2
+
+
+def test_what_a_lost_link_leaves_in_doubt_is_settled_after_the_missed_notices() -> None:
+    play = Play(group(), group(kind=Kind.MUTATING))
+    play.ask("aa", 0.0)
+    play.ask("bb", 0.0, group=1)
+    play.turn(10.0, Parted(End.RESET))
+    play.ask("cc", 20.0, group=1)
+    play.ask("dd", 20.0)
+    play.turn(30.0, Greeted(False, 30.0), RunEnded("aa", Outcome.OK, 5.0, b"r"))
+    assert len(play.commands(Launch)) == 2
+    play.turn(40.0, Sampled("missed", Gauges()))
+    # aa has ended; bb may have run and has an effect; cc and dd never left.
+    assert [c.ident for c in play.commands(Launch)] == ["aa", "bb", "cc", "dd"]
+
+
+def test_a_stop_that_found_no_link_is_sent_again() -> None:
+    play = Play()
+    play.ask("aa", 0.0, wait=500.0)
+    play.turn(10.0, Parted(End.SILENT))
+    play.turn(450.0)
+    play.turn(500.0, Greeted(False, 500.0))
+    play.turn(501.0, Sampled("missed", Gauges()))
+    assert len(play.answers) == 1 and play.commands(Freeze) == [Freeze("aa")]
+
+
+def test_nothing_runs_before_the_start() -> None:
+    play = Play(greeted=False)
+    play.ask("aa", 0.0)
+    assert [a.verdict for a in play.answers] == [Verdict.TERMINATED] and play.core.board.well
+
+
+def test_the_greeting_tells_how_warm_the_machine_is() -> None:
+    play = Play(greeted=False)
+    play.turn(1000.0, Greeted(True, 600.0))
+    controller = play.core.controller
+    assert controller and controller.born == 400.0 and controller.cold_from == 0.2 and play.health == [True]
+
+
+def test_a_caller_that_left_gets_no_answer_and_its_run_is_stopped() -> None:
+    play = Play()
+    ticket = play.ask("aa", 0.0)
+    play.turn(10.0, CallersLeft([ticket]))
+    assert play.commands(Freeze) == [Freeze("aa")] and play.core.unanswered == 0
+    play.turn(20.0, RunEnded("aa", Outcome.CANCELLED, 10.0, b""))
+    assert not play.answers and not play.core.table
+
+
+def test_a_name_in_use_starts_no_second_run() -> None:
+    play = Play()
+    play.ask("aa", 0.0)
+    play.ask("aa", 1.0)
+    assert len(play.commands(Launch)) == 1 and [a.verdict for a in play.answers] == [Verdict.TERMINATED]
+    play.turn(9.0, RunEnded("aa", Outcome.OK, 9.0, b""))
+    assert len(play.answers) == 2 and not play.core.table
+
+
+def test_a_notice_to_leave_turns_health_bad_once_and_all_is_answered_before_the_stop() -> None:
+    play = Play()
+    left: list[Any] = []
+    play.core.on_leave.append(lambda: left.append(1))
+    for i in range(12):
+        play.ask(f"a{i}", 0.0)
+    play.turn(10.0, Leave())
+    play.turn(20.0, Leave())
+    assert left == [1] and play.health[-1] is False and play.core.stop_at == 3210.0
+    play.ask("late", 2500.0, reached=2500.0)
+    assert play.answers[-1].verdict is Verdict.DENIED and "late" not in play.core.table
+    for now in range(2500, 3210, 50):
+        play.turn(float(now))
+    assert play.core.unanswered == 0
+
+
+def test_reads_of_the_same_share_a_result_while_it_is_fresh() -> None:
+    play = Play(share_for=1000.0)
+    play.ask("aa", 0.0, about="stop 7")
+    play.ask("bb", 10.0, about="stop 7")
+    play.turn(50.0, RunEnded("aa", Outcome.OK, 50.0, b"result"))
+    play.ask("cc", 60.0, about="stop 7")
+    play.turn(61.0)
+    assert [a.result for a in play.answers] == [b"result"] * 3 and len(play.commands(Launch)) == 1
+    play.ask("dd", 1100.0, about="stop 7")
+    assert len(play.commands(Launch)) == 2
+    play.turn(1150.0, RunEnded("dd", Outcome.ERROR, 50.0, b""))
+    play.turn(9000.0)
+    assert not play.core.kept and not play.core.table and play.core.kept_bytes == 0
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,226 @@
+"""Connections and callers over socket pairs; the list over a listener on a free port."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+from helpers import Play, ask_bytes, group
+
+from myrtlecrank.core.ends import End
+from myrtlecrank.core.letters import Answer, Arrived, CallersLeft, Leave, Verdict
+from myrtlecrank.edge.front import Front
+from myrtlecrank.frames import codec
+from myrtlecrank.port import Tenant
+from myrtlecrank.roll.actor import Roll
+
+WAIT_S = 10.0
+
+
+class Door:
+    """A front whose module's actor does not run: its mailbox is read by hand."""
+
+    def __init__(self, sockets: int = 1024) -> None:
+        self.play = Play(group(), tenants=[Tenant("acme", 1.0, 10.0)], idle=30_000.0)
+        self.core = self.play.core
+        self.front = Front(("127.0.0.1", 0), sockets, self.core)
+
+    def open(self) -> tuple[Any, Any]:
+        """Our end of a new connection, and the caller's."""
+        ours, theirs = socket.socketpair()
+        theirs.settimeout(WAIT_S)
+        connection = self.front.accept(Pair(ours))
+        return connection, theirs
+
+    def tickets(self, count: int) -> list[Any]:
+        found: list[Any] = []
+        while len(found) < count:
+            letters = self.core.mailbox.take(WAIT_S * 1000.0)
+            assert letters, "nothing came"
+            found += [letter.ticket for letter in letters if isinstance(letter, Arrived)]
+        return found
+
+
+class Pair:
+    """A socket of a pair knows no option of TCP."""
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+
+    def setsockopt(self, *_: int) -> None:
+        pass
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+@pytest.fixture
+def door() -> Iterator[Door]:
+    with gevent.Timeout(3 * WAIT_S):
+        made = Door()
+        yield made
+        made.front.listener.close()
+
+
+def read(sock: Any) -> tuple[int, int, bytes]:
+    raw = b""
+    while len(raw) < 4 or len(raw) < 4 + int.from_bytes(raw[:4], "little"):
+        size = 4 + int.from_bytes(raw[:4], "little") - len(raw) if len(raw) >= 4 else 4 - len(raw)
+        piece = sock.recv(size)
+        if not piece:
+            return 0, 0, b""
+        raw += piece
+    kind, stream = struct.unpack_from("<BI", raw, 4)
+    return kind, stream, raw[9:]
+
+
+def test_answers_go_to_their_streams_in_any_order(door: Door) -> None:
+    _, sock = door.open()
+    sock.sendall(b"".join(ask_bytes(stream) for stream in range(1, 33)))
+    tickets = door.tickets(32)
+    assert all(t.kb == 24.5 and t.wait == 480.0 and t.body == b"body" and t.caller == 4 for t in tickets)
+    door.core.board.value = 2.0
+    for ticket in reversed(tickets):
+        ticket.answer(Answer(ticket, Verdict.COMPLETED, ticket.ident.encode()))
+    seen = [read(sock) for _ in tickets]
+    assert [stream for _, stream, _ in seen] == list(range(32, 0, -1))
+    assert all(body == b"\0\x01\x01v\x01\x002%016x" % stream for _, stream, body in seen)
+
+
+def test_a_health_check_hears_health_and_value(door: Door) -> None:
+    _, sock = door.open()
+    check = codec._frame(codec.CHECK, 3, b"\0")
+    sock.sendall(check)
+    assert read(sock) == (codec.CHECKED, 3, b"\0\0")
+    door.core.board.well, door.core.board.value = False, 0.0
+    sock.sendall(check)
+    assert read(sock) == (codec.CHECKED, 3, b"\x01\x01\x01v\x01\x000")
+
+
+@pytest.mark.parametrize("changes", [{"c": "other"}, {"t": "other"}, {"t": None}, {"d": None}, {"m": "x"}])
+def test_an_exchange_that_cannot_be_taken_in_is_terminated_alone(door: Door, changes: Any) -> None:
+    _, sock = door.open()
+    sock.sendall(ask_bytes(1, **changes) + ask_bytes(2))
+    assert [t.ident for t in door.tickets(1)] == [f"{2:016x}"]
+    kind, stream, payload = read(sock)
+    assert (kind, stream, payload[0]) == (codec.ANSWER, 1, codec.TERMINATED)
+
+
+def test_more_streams_than_allowed_are_terminated(door: Door) -> None:
+    _, sock = door.open()
+    sock.sendall(b"".join(ask_bytes(stream) for stream in range(1, 34)))
+    assert read(sock)[1:] == (33, bytes([codec.TERMINATED, 0])) and len(door.tickets(32)) == 32
+
+
+@pytest.mark.parametrize("bad", [b"\0\0\0\0", ask_bytes(1), codec._frame(77, 1, b"")])
+def test_what_cannot_be_read_ends_that_connection_and_settles_what_is_open(door: Door, bad: bytes) -> None:
+    (connection, sock), (_, other) = door.open(), door.open()
+    sock.sendall(ask_bytes(1))
+    (ticket,) = door.tickets(1)
+    sock.sendall(bad)
+    assert read(sock)[:2] == (codec.ANSWER, 0) and read(sock) == (0, 0, b"")
+    assert door.core.mailbox.take(WAIT_S * 1000.0) == [CallersLeft([ticket])]
+    assert connection.end is End.BROKEN
+    ticket.answer(Answer(ticket, Verdict.COMPLETED))
+    other.sendall(ask_bytes(1))
+    assert len(door.tickets(1)) == 1
+
+
+def test_a_caller_that_goes_away_is_told_to_the_module(door: Door) -> None:
+    connection, sock = door.open()
+    sock.sendall(ask_bytes(1))
+    (ticket,) = door.tickets(1)
+    sock.close()
+    assert door.core.mailbox.take(WAIT_S * 1000.0) == [CallersLeft([ticket])]
+    assert connection.end is End.CLOSED and not door.front.connections and not door.front.callers
+
+
+def test_a_reader_that_stalls_holds_up_nobody_else(door: Door) -> None:
+    (slow, stalled), (_, sock) = door.open(), door.open()
+    result = bytes(codec.RESULT)
+    for first in range(1, 3000, 32):
+        stalled.sendall(b"".join(ask_bytes(stream) for stream in range(first, first + 32)))
+        letters = door.core.mailbox.take(300.0)
+        if not letters:
+            break  # no longer read, as it takes nothing
+        for letter in letters:
+            letter.ticket.answer(Answer(letter.ticket, Verdict.COMPLETED, result))
+        gevent.sleep(0)
+    assert len(slow.outgoing) < 3 * 32 * 5000
+    sock.sendall(ask_bytes(1))
+    ticket = next(t for t in iter(lambda: door.tickets(1)[-1], None) if t.answer.args[0] is not slow)
+    ticket.answer(Answer(ticket, Verdict.DENIED))
+    assert read(sock)[1] == 1
+
+
+def test_idle_connections_are_asked_to_close_and_busy_ones_are_not(door: Door) -> None:
+    (idle, sock), (busy, other) = door.open(), door.open()
+    other.sendall(ask_bytes(1))
+    door.tickets(1)
+    door.core.board.idle = 500.0
+    now = max(idle.last_used, busy.last_used) + 501.0
+    door.front.sweep(now)
+    assert read(sock) == (codec.AWAY, 0, b"") and busy.away_at is None
+    door.front.sweep(now + 3000.0)
+    assert idle.end is End.LEFT and read(sock) == (0, 0, b"")
+
+
+def test_a_notice_to_leave_closes_the_listener_but_takes_what_crosses(door: Door) -> None:
+    _, sock = door.open()
+    sock.sendall(ask_bytes(1))
+    door.tickets(1)
+    door.play.turn(0.0, Leave())
+    assert read(sock) == (codec.AWAY, 0, b"") and door.front.listener.closed
+    sock.sendall(ask_bytes(2))
+    assert len(door.tickets(1)) == 1
+
+
+def test_what_the_machine_accepted_before_the_notice_is_still_taken(door: Door) -> None:
+    with socket.socket() as caller:
+        caller.settimeout(WAIT_S)
+        caller.connect(door.front.listener.getsockname())
+        caller.sendall(ask_bytes(1))
+        door.front.leave()
+        assert len(door.tickets(1)) == 1
+
+
+def list_stand_in(listener: Any, heard: list[bytes], replies: list[bytes]) -> None:
+    for reply in replies:
+        sock, _ = listener.accept()
+        heard.append(sock.recv(4096))
+        sock.sendall(reply)
+        if b"204" in reply:
+            heard.append(sock.recv(4096))
+            sock.sendall(reply)
+        sock.close()
+
+
+def test_reports_reach_the_list_and_a_sick_list_only_delays_them() -> None:
+    heard: list[bytes] = []
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        good = b"HTTP/1.1 204 No Content\r\n\r\n"
+        bad = [b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n", b"HTTP/1.1 2", b""]
+        gevent.spawn(list_stand_in, listener, heard, [*bad, good])
+        roll = Roll(listener.getsockname(), "n3")
+        with gevent.Timeout(3 * WAIT_S):
+            outcomes = []
+            while roll.told is not True:
+                outcomes.append(roll.report(True))
+            assert outcomes[-1] and not any(outcomes[:-1])
+            assert roll.report(False) and roll.told is False
+    assert heard[-2].startswith(b"PUT /members/n3 HTTP/1.1\r\n")
+    assert heard[-2].endswith(b'\r\n\r\n{"phase":"UP"}')
+    assert heard[-1].endswith(b'{"phase":"OUT"}') and b"Content-Length: 15\r\n" in heard[-1]
+
+
+def test_a_list_that_is_away_is_one_failed_report() -> None:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        roll = Roll(listener.getsockname(), "n3")
+    assert roll.report(True) is False and roll.sock is None and roll.failing
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,93 @@
+"""The edge protocol's codec and the ring buffer."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from helpers import ask_bytes
+
+from myrtlecrank.frames import codec
+from myrtlecrank.frames.ring import Ring
+
+
+def read(*pieces: bytes) -> list[Any]:
+    ring, out = Ring(16), []
+    for piece in pieces:
+        ring.append(piece)
+        out += list(codec.frames(ring))
+    return out
+
+
+def test_frames_come_out_the_same_however_their_bytes_are_split() -> None:
+    body = bytes(range(256)) * 8
+    whole = b"".join(ask_bytes(stream, body=body) for stream in (1, 2, 3))
+    whole += codec._frame(codec.CHECK, 9, b"\0")
+    chance = random.Random(1)
+    for _ in range(50):
+        cuts = sorted(chance.sample(range(len(whole)), 20))
+        parts = [whole[a:b] for a, b in zip([0, *cuts], [*cuts, len(whole)], strict=True)]
+        frames = read(*parts)
+        assert [f.stream for f in frames] == [1, 2, 3, 9]
+        assert all(f.body == body and f.wait == 480.0 for f in frames[:3])
+
+
+def test_a_long_value_has_a_length_of_two_bytes() -> None:
+    assert read(ask_bytes(1, o="k" * 700))[0].about == "k" * 700
+
+
+@pytest.mark.parametrize(
+    ("changes", "why"),
+    [
+        ({"i": "xyz"}, "'i'"), ({"i": None}, "'i'"), ({"c": None}, "'c'"), ({"s": "soon"}, "'s'"),
+        ({"s": "nan"}, "'s'"), ({"d": "-1"}, "'d'"), ({"m": "inf"}, "'m'"), ({"p": "1"}, "'p'"),
+        ({"f": None}, "'f'"), ({"body": b"x" * 2049}, "body of 2049"), ({"doubled": "t"}, "twice"),
+    ],
+)
+def test_what_spoils_one_exchange_leaves_the_next_readable(changes: dict[str, Any], why: str) -> None:
+    spoiled, sound = read(ask_bytes(7, **changes) + ask_bytes(8))
+    assert isinstance(spoiled, codec.Spoiled) and spoiled.stream == 7 and why in spoiled.why
+    assert isinstance(sound, codec.Ask)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [b"\x04\0\0\0", b"\x01\0\x04\0", codec._frame(99, 1, b""), codec._frame(codec.ANSWER, 1, b"")[:9],
+     codec._frame(codec.ASK, 0, b"\0"), codec._frame(codec.CHECK, 1, b"\x01")],
+)
+def test_what_is_no_frame_breaks_the_connection(raw: bytes) -> None:
+    with pytest.raises(codec.Broken):
+        read(raw)
+
+
+def test_fields_that_run_past_their_frame_do_not_reach_into_the_next() -> None:
+    short = codec._frame(codec.ASK, 1, b"\x01\x01i\xff\xff")
+    spoiled, sound = read(short + ask_bytes(2))
+    assert isinstance(spoiled, codec.Spoiled) and sound.stream == 2
+
+
+def test_answers_carry_the_value_and_on_denials_the_advice() -> None:
+    frame = codec.answer(5, codec.DENIED, 2.5, wait=120.4, last=True)
+    assert frame == b"\x1a\0\0\0\x0b\x05\0\0\0\x01\x03\x01v\x03\x002.5\x01w\x03\x00120\x01l\x01\x001"
+    result = bytes(range(256)) * 16
+    assert codec.answer(5, codec.COMPLETED, None, 9.0, True, result)[9:] == b"\0\0" + result
+
+
+def test_the_ring_keeps_order_around_its_end_and_gives_memory_back() -> None:
+    ring, chance, sent, got = Ring(8), random.Random(2), bytearray(), bytearray()
+    for _ in range(500):
+        piece = chance.randbytes(chance.randrange(40))
+        if chance.random() < 0.5:
+            ring.append(piece)
+        else:
+            for byte in piece:
+                ring.room()[:1] = bytes([byte])
+                ring.wrote(1)
+        sent += piece
+        got += ring.take(chance.randrange(45))
+    got += ring.take(len(ring))
+    assert got == sent
+    ring.append(bytes(5000))
+    ring.skip(5000)
+    assert ring.capacity == 8
