Look for stuck readers and a silent agent once a beat, not by a time-out on each wait

A link that hangs while its writer waits was also not noticed, as the check stood behind that write.

--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -16,7 +16,7 @@
 from myrtlecrank.frames.ring import Ring
 
 UNSENT = 2 * codec.OPEN_STREAMS * codec.RESULT  # what may wait for a slow reader before we stop reading it
-STUCK_S = 5.0  # a reader that takes nothing for so long is gone
+STUCK_MS = 5000.0  # a reader that takes nothing for so long is gone
 GAPS = 1024  # streams beyond a gap in their numbers that are remembered one by one
 Take = Callable[["Connection", codec.Ask], None]
 
@@ -32,6 +32,7 @@
         self.away_at: float | None = None  # when it was told to bring nothing new
         self.end: End | None = None
         self.flushing = False
+        self.taken, self.taken_seen, self.stuck_since = 0, 0, 0.0
         self.drained = Flag()
 
     def run(self) -> End:
@@ -109,16 +110,21 @@
     def _flush(self) -> None:
         try:
             while self.outgoing and self.end is None:
-                with gevent.Timeout(STUCK_S, TimeoutError):
-                    count = self.sock.send(self.outgoing.data())
+                count = self.sock.send(self.outgoing.data())
                 self.outgoing.skip(count)
-        except TimeoutError:
-            self.close(End.STUCK)
+                self.taken += count
         except OSError as error:
             self.close(of_error(error))
         self.flushing = False
         self.drained.set()
 
+    def look_stuck(self, now: float) -> None:
+        """Guards against readers that stall for good; cheaper than a time-out on every write."""
+        if not self.flushing or self.taken != self.taken_seen:
+            self.taken_seen, self.stuck_since = self.taken, now
+        elif now - self.stuck_since > STUCK_MS:
+            self.close(End.STUCK)
+
     def close(self, end: End) -> None:
         """Ends it from our side; its reader wakes and tells the others."""
         self._ended(end)
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -107,7 +107,9 @@
                 caller.mailbox.post(None)
 
     def sweep(self, now: float) -> None:
-        """Asks callers to close what idles longer than the module allows."""
+        """Closes what is stuck, and asks callers to close what idles longer than the module allows."""
+        for connection in list(self.connections):
+            connection.look_stuck(now)
         for connection in list(self.connections):
             idle = now - connection.last_used
             if self.board.idle <= 0 or idle <= self.board.idle:
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 import gevent
 from gevent import socket
-from gevent.event import Event as Flag
 from loguru import logger
 
 from myrtlecrank.core.ends import End, of_error
@@ -17,25 +17,32 @@
 from myrtlecrank.port import Gauges, Outcome
 
 FIRST_PAUSE, LONGEST_PAUSE = 0.02, 1.0  # seconds between tries to connect
-CONNECT_S, SILENT_S = 2.0, 3.0  # once greeted the agent is asked often, so it is never silent for long
+CONNECT_S, SILENT_MS = 2.0, 3000.0  # once greeted the agent is asked often, so it is never silent for long
 MAILBOX = 4096
 
 
+def monotonic_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
 class Link:
     def __init__(self, address: tuple[str, int], gauges: list[str], tell: Callable[[Event], None]) -> None:
         self.address, self.gauges, self.tell = address, gauges, tell
         self.mailbox: Mailbox[Command] = Mailbox(MAILBOX)
         self.read = 0  # the last notice that was read
-        self.greeted = False
-        self.up = Flag()
+        self.greeted = self.known_up = False
+        self.heard = 0.0  # when something last came
         self.sock: socket.socket | None = None
+        self.dropped: End | None = None
 
     def run(self) -> None:
         """Reads the link for as long as the program lives."""
         pause = FIRST_PAUSE
         while True:
             self.greeted = False
+            self.dropped = None
             end = self._session()
+            end = self.dropped or end
             if self.greeted:
                 pause = FIRST_PAUSE
                 logger.warning("the agent's link {}", end.value)
@@ -55,10 +62,17 @@
             except OSError as error:
                 self._drop(of_error(error))
 
+    def look(self, _: float) -> None:
+        """Guards against a link that hangs without closing, in either direction. Before the first greeting
+        silence is in order: the machine may come up long after us."""
+        if self.sock is not None and self.known_up and monotonic_ms() - self.heard > SILENT_MS:
+            self._drop(End.SILENT)
+
     def _drop(self, end: End) -> None:
-        logger.warning("writing to the agent: {}", end.value)
+        """The reader wakes, tells the end and opens another."""
+        self.dropped = end
         if self.sock is not None:
-            self.sock.close()  # the reader wakes and opens another
+            self.sock.close()
 
     def _session(self) -> End:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -68,7 +82,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.sendall(lines.subscribe(self.read))
             sock.settimeout(None)  # the machine may come up long after this
-            self.sock = sock
+            self.sock, self.heard = sock, monotonic_ms()
             return self._notices(sock, Ring())
         except OSError as error:
             return of_error(error)
@@ -85,10 +99,10 @@
             if count == 0:
                 return End.CLOSED
             ring.wrote(count)
+            self.heard = monotonic_ms()
             for notice in lines.notices(ring):
                 if isinstance(notice, lines.Greeting) and not self.greeted:
-                    self.greeted = True
-                    sock.settimeout(SILENT_S)
+                    self.greeted = self.known_up = True
                 self.notice(notice)
 
     def notice(self, notice: lines.Notice) -> None:
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -66,6 +66,7 @@
 
     core_left = Flag()
     core.on_leave.append(core_left.set)
+    core.on_beat.append(link.look)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, leave)
     for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -4,9 +4,13 @@
 
 from typing import Any
 
+import gevent
 import pytest
+from gevent import socket
 
-from myrtlecrank.core.letters import Freeze, Greeted, Launch, RunEnded, Sample, Sampled
+from myrtlecrank.core.ends import End
+from myrtlecrank.core.letters import Freeze, Greeted, Launch, Parted, RunEnded, Sample, Sampled
+from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.farm import lines
 from myrtlecrank.farm.link import Link
 from myrtlecrank.frames.ring import Ring
@@ -62,3 +66,40 @@
     assert lines.command(Launch("aa", "group", b"x\r\n")) == b"launch aa group 3\r\nx\r\n\r\n"
     assert lines.command(Freeze("aa")) + lines.command(Sample("b1")) == b"freeze aa\r\nsample b1\r\n"
     assert lines.subscribe(7) == b"subscribe 7\r\n"
+
+
+def agent(listener: Any, links: list[Any], greet: bytes = b"greeting LOADED 5\r\n") -> None:
+    while True:
+        sock, _ = listener.accept()
+        links.append((sock, sock.recv(100)))
+        sock.sendall(greet)
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+def test_a_link_that_ends_or_hangs_is_opened_again_from_the_last_notice(
+    hangs: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    links: list[Any] = []
+    letters: Mailbox[Any] = Mailbox(100)
+    with gevent.Timeout(30), socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        link = Link(listener.getsockname(), [], letters.post)
+        actors = [gevent.spawn(agent, listener, links), gevent.spawn(link.run), gevent.spawn(link.write)]
+        assert letters.take() == [Greeted(False, 5.0)]
+        links[0][0].sendall(b"outcome 9 aa FAIL 1 0\r\n\r\n")
+        assert letters.take() == [RunEnded("aa", Outcome.ERROR, 1.0, b"")]
+        if hangs:
+            link.look(0.0)
+            assert link.sock
+            monkeypatch.setattr("myrtlecrank.farm.link.SILENT_MS", -1.0)
+            link.look(0.0)
+        else:
+            links[0][0].close()
+        end = letters.take()
+        assert end == [Parted(End.SILENT if hangs else End.CLOSED)]
+        assert letters.take() == [Greeted(False, 5.0)]
+        assert [said for _, said in links] == [b"subscribe 0\r\n", b"subscribe 9\r\n"]
+        link.mailbox.post(Sample("b2"))
+        assert links[1][0].recv(100) == b"sample b2\r\n"
+        gevent.killall(actors)
