--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -4,13 +4,13 @@
 
 import gc
 import signal
-import sys
 from collections.abc import Callable
 
 import gevent
 from gevent.event import Event as Flag
 from loguru import logger
 
+from myrtlecrank import log
 from myrtlecrank.core.actor import Core, unix_ms
 from myrtlecrank.core.letters import Leave
 from myrtlecrank.edge.front import Front
@@ -23,15 +23,9 @@
 LAST_MS = 60.0  # before the process is stopped, it ends by itself
 
 
-def log_to_stderr() -> None:
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
-               diagnose=False)
-
-
 def serve(orders: Orders) -> int:
     """Runs one backend until the notice to leave has been followed; its exit code."""
-    log_to_stderr()
+    log.to_stderr()
     # The numeric addresses need no look-up, and so no threads for it.
     gevent.config.resolver = "block"
     link: Link
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,166 @@
+"""The program as a whole: configurations, start, log, drain and exit codes, in processes of their own."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from gevent import socket
+from helpers import ask_bytes
+
+from myrtlecrank import orders
+from myrtlecrank.log import AT_MOST, Sparing
+from myrtlecrank.port import Meaning
+from myrtlecrank.startfacts import Fields
+
+GROUP = {"name": "group", "effect": "read_like", "aim": 1_000_000, "deadline": 4_000_000}
+WHOLE = {
+    "name": "n3", "listen": "127.0.0.1:8080", "agent": "127.0.0.1:7300", "members": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": {"sockets": 1024},
+    "settings": {
+        "categories": [GROUP],
+        "domain": {"cores": 2, "memoryKb": 1000.0, "signal": "tokens",
+                   "gauges": ["links", "new", "core_use"]},
+        "guarantees": {"fallMultiple": 4.0, "fall": 2_000_000},
+        "tenants": [{"name": "acme", "share": 1.0, "allowancePerS": 10.0}],
+    },
+}
+
+
+def changed(path: str, value: Any) -> dict[str, Any]:
+    told = copy.deepcopy(WHOLE)
+    *above, last = path.split("/")
+    inner: Any = told
+    for key in above:
+        inner = inner[key]
+    inner[last] = value
+    return told
+
+
+def test_a_configuration_becomes_what_the_program_uses() -> None:
+    told = orders.parse(Fields(WHOLE, "it"))
+    assert told.agent == ("127.0.0.1", 7300) and told.gauges == ["connections", "", "cpu"]
+    assert told.facts.seed == 0x8C1F30D27A5BE964 and told.facts.meaning is Meaning.CREDIT
+    assert told.facts.groups[0].slo == 1000.0
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "message"),
+    [
+        ("listen", "localhost:80", "not an IPv4 address"), ("agent", "127.0.0.1:0", "no usable port"),
+        ("seed", "xyz", "not hexadecimal"), ("stop_ms", 0, "not above 0"), ("name", None, "lacks"),
+        ("settings/categories", [], "at least one"),
+        ("settings/domain/cores", "2", "not an integer"),
+        ("settings/categories", [{**GROUP, "aim": 5_000_000}], "within its deadline"),
+        ("settings/domain/downstream", "common", "not served on sockets"),
+        ("settings/categories", [{**GROUP, "effect": "odd"}], "no known value"),
+    ],
+)
+def test_a_senseless_configuration_is_one_plain_line(
+    path: str, value: Any, message: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(changed(path, value)))
+    with pytest.raises(orders.OrdersError, match=message) as caught:
+        orders.read(str(file))
+    assert "\n" not in str(caught.value)
+
+
+def test_lines_that_repeat_are_counted_instead() -> None:
+    sparing, kept = Sparing(), []
+    for i in range(200):
+        record = {"name": "edge", "line": 7, "message": "bad"}
+        if sparing.passes(record, i * 0.1):
+            kept.append(record["message"])
+    assert len(kept) == 2 * AT_MOST and f"(and {101 - AT_MOST} more like it" in kept[AT_MOST]
+
+
+def start(tmp_path: Path, told: Any, *words: str) -> Any:
+    file = tmp_path / "config.json"
+    file.write_text(told if isinstance(told, str) else json.dumps(told))
+    return subprocess.Popen(
+        [sys.executable, "-m", "myrtlecrank", *words], env={**os.environ, "PROXY_CONFIG": str(file)},
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )
+
+
+@pytest.mark.parametrize("told", ["{", json.dumps(changed("listen", 5))])
+def test_a_bad_configuration_ends_the_start(tmp_path: Path, told: str) -> None:
+    out, err = (process := start(tmp_path, told, "serve")).communicate(timeout=60)
+    assert process.returncode == 2 and not out and err.startswith("myrtlecrank: ") and err.count("\n") == 1
+
+
+def test_an_address_in_use_ends_the_start(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        told = changed("listen", f"127.0.0.1:{taken.getsockname()[1]}")
+        _, err = (process := start(tmp_path, told, "serve")).communicate(timeout=60)
+    assert process.returncode == 1 and "cannot listen" in err and err.count("\n") == 1
+
+
+def test_a_whole_exchange_and_a_whole_drain(tmp_path: Path) -> None:
+    """One process between stand-ins of its own: start, one answer, notice to leave, exit with 0."""
+    agent, roll = socket.socket(), socket.socket()
+    for listener in (agent, roll):
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.settimeout(60)
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    told = copy.deepcopy(WHOLE) | {"listen": f"127.0.0.1:{port}"}
+    told["agent"], told["members"] = (f"127.0.0.1:{s.getsockname()[1]}" for s in (agent, roll))
+    process = start(tmp_path, told, "serve")
+    try:
+        link = agent.accept()[0]
+        assert link.recv(100) == b"subscribe 0\r\n"
+        link.sendall(b"greeting LOADED 9000\r\n")
+        reports = roll.accept()[0]
+        assert b'{"phase":"UP"}' in reports.recv(4096)
+        reports.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        caller = socket.create_connection(("127.0.0.1", port))
+        caller.sendall(ask_bytes(1, s=str(int(time.time() * 1000)), d="30000"))
+        heard = b""
+        while b"launch" not in heard:
+            heard += link.recv(4096)
+        assert b"launch 0000000000000001 group 4\r\nbody\r\n" in heard
+        link.sendall(b"outcome 1 0000000000000001 PASS 5 2\r\nok\r\n")
+        assert caller.recv(100).endswith(b"ok")
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        said = reports.recv(4096)
+        while b'{"phase":"OUT"}' not in said:
+            reports.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            said = reports.recv(4096)
+        reports.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        assert caller.recv(100)[4] == 30
+        caller.close()
+        out, err = process.communicate(timeout=60)
+        assert process.returncode == 0 and not out and "Traceback" not in err and err.count("notice") == 1
+    finally:
+        process.kill()
+
+
+def test_an_error_in_an_actor_ends_the_process_with_its_trace(tmp_path: Path) -> None:
+    text = ("import myrtlecrank.core.actor as a\n"
+            "def broken(*_): raise RuntimeError('boom')\n"
+            "a.Core.turn = broken\n"
+            "a.Core.run = lambda core: core.turn([], 0.0)\n"
+            "from myrtlecrank.cli import main; main(['serve'])")
+    file = tmp_path / "config.json"
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    file.write_text(json.dumps(changed("listen", f"127.0.0.1:{port}")))
+    done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 70 and "RuntimeError: boom" in done.stderr
