--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -156,6 +156,7 @@
     def _leave(self) -> None:
         if self.stop_at is not None:
             return
+        logger.info("notice to leave, {} exchanges in hand", self.unanswered)
         self.stop_at = self.now + self.stop_ms
         self.board.leaving = True
         if self.controller is not None:
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -46,10 +46,11 @@
 
     def _accept(self) -> None:
         while not self.board.leaving:
-            if len(self.connections) >= self.most:
-                gevent.sleep(FULL_S)
-                continue
             try:
+                socket.wait_read(self.listener.fileno())
+                if len(self.connections) >= self.most and not self.make_room():
+                    gevent.sleep(FULL_S)
+                    continue
                 sock, _ = self.listener.accept()
             except OSError as error:
                 if self.board.leaving or error.errno == errno.EBADF:
@@ -60,6 +61,15 @@
                 continue
             self.accept(sock)
 
+    def make_room(self) -> bool:
+        """Guards against floods of connections that bring nothing: the one that was idle longest goes, so
+        that health checks and exchanges still find a place."""
+        idle = next((c for c in self.connections if not c.open and not c.flushing), None)
+        if idle is not None:
+            idle.close(End.LEFT)
+            del self.connections[idle]
+        return idle is not None
+
     def accept(self, sock: socket.socket) -> Connection:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(sock, self.board, self.asked)
--- a/myrtlecrank/roll/actor.py
+++ b/myrtlecrank/roll/actor.py
@@ -12,7 +12,7 @@
 from myrtlecrank.core.ends import End, of_error
 from myrtlecrank.core.mailbox import Mailbox
 
-EVERY_MS = 800.0  # an entry lapses 3 s after its last report
+EVERY_MS, AGAIN_MS = 800.0, 200.0  # an entry lapses 3 s after its last report
 CALL_S = 1.0
 
 
@@ -32,20 +32,21 @@
         self.address, self.name = address, name
         self.mailbox: Mailbox[bool] = Mailbox(64)
         self.well: bool | None = None  # nothing is reported before the start
+        self.due = float("inf")  # when the next report is
         self.told: bool | None = None  # what the list has last confirmed
         self.sock: socket.socket | None = None
         self.failing = False
 
     def run(self) -> None:
-        due = 0.0
         while True:
-            wait = None if self.well is None else max(0.0, due - time.monotonic() * 1000.0)
-            news = self.mailbox.take(wait)
-            if news:
-                self.well = news[-1]
-            due = time.monotonic() * 1000.0 + EVERY_MS
-            if self.well is not None and not self.report(self.well):
-                due = time.monotonic() * 1000.0 + 0.25 * EVERY_MS
+            self.well, self.due = self.mailbox.take()[-1], float("inf")
+            done = self.report(self.well)
+            self.due = time.monotonic() * 1000.0 + (EVERY_MS if done else AGAIN_MS)
+
+    def beat(self, _: float) -> None:
+        """Hangs on the module's beat: were that to stop, the entry would lapse, as it should."""
+        if self.well is not None and time.monotonic() * 1000.0 >= self.due and not self.mailbox:
+            self.mailbox.post(self.well)
 
     def report(self, well: bool) -> bool:
         """One call, on the connection of the last if it still stands."""
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -44,10 +44,6 @@
             code[0] = FAILED
             over.set()
 
-    def leave() -> None:
-        logger.info("notice to leave, {} exchanges in hand", core.unanswered)
-        core.mailbox.post(Leave())
-
     def watch_leaving() -> None:
         while core.stop_at is None:
             core_left.wait()
@@ -60,9 +56,9 @@
 
     core_left = Flag()
     core.on_leave.append(core_left.set)
-    core.on_beat.append(link.look)
+    core.on_beat += [link.look, roll.beat]
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, leave)
+        gevent.signal_handler(number, core.mailbox.post, Leave())
     for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
         gevent.spawn(actor, work)
     logger.info("{} listens on {}:{}", orders.name, *orders.listen)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -224,3 +224,30 @@
         listener.bind(("127.0.0.1", 0))
         roll = Roll(listener.getsockname(), "n3")
     assert roll.report(True) is False and roll.sock is None and roll.failing
+
+
+def test_a_flood_of_idle_connections_leaves_room_and_busy_ones_stay() -> None:
+    with gevent.Timeout(3 * WAIT_S):
+        door = Door(sockets=64 + 3)
+        accepting = gevent.spawn(door.front.run)
+        address = door.front.listener.getsockname()
+        callers = [socket.create_connection(address) for _ in range(2)]
+        for caller in callers:
+            caller.sendall(ask_bytes(1))
+        door.tickets(2)
+        idle = [socket.create_connection(address) for _ in range(10)]
+        idle[-1].sendall(codec._frame(codec.CHECK, 3, b"\0"))
+        assert read(idle[-1])[:2] == (codec.CHECKED, 3) and idle[0].recv(10) == b""
+        assert len(door.front.connections) <= 3 and sum(bool(c.open) for c in door.front.connections) == 2
+        busy = [socket.create_connection(address)]
+        busy[0].sendall(ask_bytes(1))
+        door.tickets(1)
+        busy += [socket.create_connection(address)]
+        busy[1].sendall(codec._frame(codec.CHECK, 3, b"\0"))
+        gevent.sleep(0)
+        assert len(door.front.connections) == 3
+        callers[0].close()
+        assert read(busy[1])[:2] == (codec.CHECKED, 3)
+        accepting.kill()
+        door.front.accepting.kill()
+        door.front.listener.close()
