Rings both ways on every connection; callers' actors end the process when they fail

From a review of the house style: the link and the list wrote without a ring, a caller's actor that failed would have left the process half-dead (edge/front.py spawned it unwatched), timers held kept results longer than their bound.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -306,6 +306,8 @@
         self._at(self.now + self.alarm[1], lambda: self._sampled(tag, Gauges()))
         for hook in self.on_beat:
             hook(self.now)
+        for key in [key for key, (_, until) in self.kept.items() if self.now > until]:
+            self._drop(key)
 
     def _sampled(self, tag: str, gauges: Gauges) -> None:
         if tag == "missed":
@@ -332,7 +334,6 @@
         self._drop(key)
         self.kept[key] = (entry, self.now + span)
         self.kept_bytes += RESULT_AT_MOST
-        self._at(self.now + span, lambda: self._forget(entry))
         while self.kept_bytes > KEPT_BYTES:
             self._drop(next(iter(self.kept)))
 
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+from collections.abc import Callable
 
 import gevent
 from gevent import socket
@@ -22,8 +23,10 @@
 
 
 class Front:
-    def __init__(self, address: tuple[str, int], sockets: int, core: Core) -> None:
-        self.core, self.board = core, core.board
+    def __init__(
+        self, address: tuple[str, int], sockets: int, core: Core, spawn: Callable[..., object] = gevent.spawn
+    ) -> None:
+        self.core, self.board, self.spawn = core, core.board, spawn
         self.most = max(1, sockets - SPARE_SOCKETS)
         facts = core.facts
         self.groups = {group.name: i for i, group in enumerate(facts.groups)}
@@ -97,7 +100,7 @@
                 caller = self.callers[ask.caller] = Caller(
                     self.groups, self.tenants, self.core.facts.tells_left, self.board, self.core.mailbox.put
                 )
-                gevent.spawn(caller.run)
+                self.spawn(caller.run)
             caller.connections += 1
         self.callers[connection.caller].mailbox.put(Asked(connection, ask))
 
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -31,6 +31,7 @@
         self.mailbox: Mailbox[Command] = Mailbox(MAILBOX)
         self.read = 0  # the last notice that was read
         self.greeted = self.known_up = False
+        self.outgoing = Ring()
         self.heard = 0.0  # when something last came
         self.sock: socket.socket | None = None
         self.dropped: End | None = None
@@ -54,11 +55,13 @@
         """Writes the commands, many at a time; what finds no link is left to the notices after the next."""
         while True:
             wanted = self.mailbox.take()
-            sock = self.sock
+            sock, ring = self.sock, self.outgoing
             if sock is None or not self.greeted:
                 continue
             try:
-                sock.sendall(b"".join(map(lines.command, wanted)))
+                ring.append(b"".join(map(lines.command, wanted)))
+                while ring:
+                    ring.skip(sock.send(ring.data()))
             except OSError as error:
                 self._drop(of_error(error))
 
@@ -82,7 +85,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.sendall(lines.subscribe(self.read))
             sock.settimeout(None)  # the machine may come up long after this
-            self.sock, self.heard = sock, monotonic_ms()
+            self.sock, self.heard, self.outgoing = sock, monotonic_ms(), Ring()
             return self._notices(sock, Ring())
         except OSError as error:
             return of_error(error)
--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -157,7 +157,7 @@
         return Spoiled(stream, str(error))
 
 
-def _frame(kind: int, stream: int, payload: bytes) -> bytes:
+def framed(kind: int, stream: int, payload: bytes) -> bytes:
     return HEAD.pack(5 + len(payload), kind, stream) + payload
 
 
@@ -185,11 +185,11 @@
         fields["w"] = str(max(1, round(wait)))
     if code == DENIED and last:
         fields["l"] = "1"
-    return _frame(ANSWER, stream, bytes([code]) + _packed(fields) + body)
+    return framed(ANSWER, stream, bytes([code]) + _packed(fields) + body)
 
 
 def checked(stream: int, well: bool, said: float | None) -> bytes:
-    return _frame(CHECKED, stream, bytes([GOOD if well else BAD]) + _packed(_said(said)))
+    return framed(CHECKED, stream, bytes([GOOD if well else BAD]) + _packed(_said(said)))
 
 
 def error(said: float | None) -> bytes:
@@ -199,4 +199,4 @@
 
 def away() -> bytes:
     """No new exchange on this connection."""
-    return _frame(AWAY, 0, b"")
+    return framed(AWAY, 0, b"")
--- a/myrtlecrank/roll/actor.py
+++ b/myrtlecrank/roll/actor.py
@@ -11,6 +11,7 @@
 
 from myrtlecrank.core.ends import End, of_error
 from myrtlecrank.core.mailbox import Mailbox
+from myrtlecrank.frames.ring import Ring
 
 EVERY_MS, AGAIN_MS = 800.0, 200.0  # an entry lapses 3 s after its last report
 CALL_S = 1.0
@@ -73,13 +74,17 @@
                 self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 self.sock.connect(self.address)
                 self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.sock.sendall(head.encode() + body)
+            outgoing, incoming = Ring(), Ring()
+            outgoing.append(head.encode() + body)
+            while outgoing:
+                outgoing.skip(self.sock.send(outgoing.data()))
             while not reply.whole:
-                data = self.sock.recv(4096)
-                if not data:
+                count = self.sock.recv_into(incoming.room())
+                if not count:
                     self._close()
                     return End.CLOSED
-                reply.parser.feed_data(data)
+                incoming.wrote(count)
+                reply.parser.feed_data(incoming.take(count))
             if not reply.parser.should_keep_alive():
                 self._close()
             return None if reply.parser.get_status_code() == 204 else End.BROKEN
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -32,7 +32,6 @@
     roll = Roll(orders.members, orders.name)
     core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.mailbox.post)
     link = Link(orders.agent, orders.gauges, core.mailbox.post)
-    front = Front(orders.listen, orders.sockets, core)
     over, code = Flag(), [0]
 
     def actor(work: Callable[[], object]) -> None:
@@ -44,6 +43,11 @@
             code[0] = FAILED
             over.set()
 
+    def spawn(work: Callable[[], object]) -> None:
+        gevent.spawn(actor, work)
+
+    front = Front(orders.listen, orders.sockets, core, spawn)
+
     def watch_leaving() -> None:
         while core.stop_at is None:
             core_left.wait()
@@ -60,7 +64,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, core.mailbox.post, Leave())
     for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
-        gevent.spawn(actor, work)
+        spawn(work)
     logger.info("{} listens on {}:{}", orders.name, *orders.listen)
     gc.collect()
     gc.freeze()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -90,4 +90,4 @@
     payload = bytes([len(rows)])
     for name, value in rows:
         payload += bytes([len(name)]) + name.encode() + len(value).to_bytes(2, "little") + value.encode()
-    return codec._frame(codec.ASK, stream, payload + body)
+    return codec.framed(codec.ASK, stream, payload + body)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -93,7 +93,7 @@
 
 def test_a_health_check_hears_health_and_value(door: Door) -> None:
     _, sock = door.open()
-    check = codec._frame(codec.CHECK, 3, b"\0")
+    check = codec.framed(codec.CHECK, 3, b"\0")
     sock.sendall(check)
     assert read(sock) == (codec.CHECKED, 3, b"\0\0")
     door.core.board.well, door.core.board.value = False, 0.0
@@ -116,7 +116,7 @@
     assert read(sock)[1:] == (33, bytes([codec.TERMINATED, 0])) and len(door.tickets(32)) == 32
 
 
-@pytest.mark.parametrize("bad", [b"\0\0\0\0", ask_bytes(1), codec._frame(77, 1, b"")])
+@pytest.mark.parametrize("bad", [b"\0\0\0\0", ask_bytes(1), codec.framed(77, 1, b"")])
 def test_what_cannot_be_read_ends_that_connection_and_settles_what_is_open(door: Door, bad: bytes) -> None:
     (connection, sock), (_, other) = door.open(), door.open()
     sock.sendall(ask_bytes(1))
@@ -236,14 +236,14 @@
             caller.sendall(ask_bytes(1))
         door.tickets(2)
         idle = [socket.create_connection(address) for _ in range(10)]
-        idle[-1].sendall(codec._frame(codec.CHECK, 3, b"\0"))
+        idle[-1].sendall(codec.framed(codec.CHECK, 3, b"\0"))
         assert read(idle[-1])[:2] == (codec.CHECKED, 3) and idle[0].recv(10) == b""
         assert len(door.front.connections) <= 3 and sum(bool(c.open) for c in door.front.connections) == 2
         busy = [socket.create_connection(address)]
         busy[0].sendall(ask_bytes(1))
         door.tickets(1)
         busy += [socket.create_connection(address)]
-        busy[1].sendall(codec._frame(codec.CHECK, 3, b"\0"))
+        busy[1].sendall(codec.framed(codec.CHECK, 3, b"\0"))
         gevent.sleep(0)
         assert len(door.front.connections) == 3
         callers[0].close()
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -23,7 +23,7 @@
 def test_frames_come_out_the_same_however_their_bytes_are_split() -> None:
     body = bytes(range(256)) * 8
     whole = b"".join(ask_bytes(stream, body=body) for stream in (1, 2, 3))
-    whole += codec._frame(codec.CHECK, 9, b"\0")
+    whole += codec.framed(codec.CHECK, 9, b"\0")
     chance = random.Random(1)
     for _ in range(50):
         cuts = sorted(chance.sample(range(len(whole)), 20))
@@ -53,8 +53,8 @@
 
 @pytest.mark.parametrize(
     "raw",
-    [b"\x04\0\0\0", b"\x01\0\x04\0", codec._frame(99, 1, b""), codec._frame(codec.ANSWER, 1, b"")[:9],
-     codec._frame(codec.ASK, 0, b"\0"), codec._frame(codec.CHECK, 1, b"\x01")],
+    [b"\x04\0\0\0", b"\x01\0\x04\0", codec.framed(99, 1, b""), codec.framed(codec.ANSWER, 1, b"")[:9],
+     codec.framed(codec.ASK, 0, b"\0"), codec.framed(codec.CHECK, 1, b"\x01")],
 )
 def test_what_is_no_frame_breaks_the_connection(raw: bytes) -> None:
     with pytest.raises(codec.Broken):
@@ -62,7 +62,7 @@
 
 
 def test_fields_that_run_past_their_frame_do_not_reach_into_the_next() -> None:
-    short = codec._frame(codec.ASK, 1, b"\x01\x01i\xff\xff")
+    short = codec.framed(codec.ASK, 1, b"\x01\x01i\xff\xff")
     spoiled, sound = read(short + ask_bytes(2))
     assert isinstance(spoiled, codec.Spoiled) and sound.stream == 2
 
