Never launch a mutating exchange again after a link that stood, however it ended

Cause: core/actor.py took the end 'could not be opened' of a link that had stood as proof that nothing ran; a socket does report that when the way to the agent goes away.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -14,7 +14,7 @@
 
 from myrtlecrank import port
 from myrtlecrank.core.board import Board
-from myrtlecrank.core.ends import OUTCOMES
+from myrtlecrank.core.ends import OUTCOMES, End
 from myrtlecrank.core.letters import (
     Answer,
     Arrived,
@@ -80,6 +80,7 @@
         self.now = unix_ms() if now is None else now
         self.controller: Controller | None = None
         self.linked = False
+        self.missed: str | None = None  # the tag of the sample that follows the missed notices
         self.table: dict[str, Entry] = {}
         self.entries: dict[port.Exchange, Entry] = {}
         self.unanswered = 0
@@ -121,10 +122,12 @@
             case Greeted(cold, up):
                 self._greeted(cold, up)
             case Parted(end):
-                self.linked = False
+                self.linked, self.missed = False, None
+                # Even where no way to the agent is left, what was written to a link that stood may have run.
+                lost = Outcome.RESET if end is End.UNREACHED else OUTCOMES[end]
                 for entry in self.table.values():
                     if entry.running and entry.doubt is None:
-                        entry.doubt = OUTCOMES[end]
+                        entry.doubt = lost
             case Leave():
                 self._leave()
 
@@ -134,7 +137,8 @@
         self.linked = True
         if self.controller is not None:
             # The notices that were missed come first; what they leave in doubt is settled after them.
-            self.command(Sample("missed"))
+            self.missed = f"m{self.order()}"
+            self.command(Sample(self.missed))
             return
         self.facts.cold = cold
         logger.info("the machine is up for {:.0f} ms, {}", up, "cold" if cold else "warm")
@@ -310,7 +314,8 @@
             self._drop(key)
 
     def _sampled(self, tag: str, gauges: Gauges) -> None:
-        if tag == "missed":
+        if tag == self.missed:
+            self.missed = None
             self._settle_doubts()
         elif tag == self.sampled and self.controller is not None:
             self.sampled = None
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import pytest
@@ -92,18 +93,41 @@
     play.ask("dd", 20.0)
     play.turn(30.0, Greeted(False, 30.0), RunEnded("aa", Outcome.OK, 5.0, b"r"))
     assert len(play.commands(Launch)) == 2
-    play.turn(40.0, Sampled("missed", Gauges()))
+    play.turn(40.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
     # aa has ended; bb may have run and has an effect; cc and dd never left.
     assert [c.ident for c in play.commands(Launch)] == ["aa", "bb", "cc", "dd"]
 
 
+@pytest.mark.parametrize("end", list(End))
+def test_however_a_link_ends_what_was_launched_on_it_may_have_run(end: End) -> None:
+    play = Play(group(kind=Kind.MUTATING))
+    play.ask("aa", 0.0)
+    play.turn(10.0, Parted(end))
+    play.turn(20.0, Greeted(False, 20.0))
+    play.turn(30.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    assert len(play.commands(Launch)) == 1
+
+
+def test_a_sample_of_a_lost_link_settles_nothing() -> None:
+    play = Play()
+    play.ask("aa", 0.0)
+    play.turn(10.0, Parted(End.RESET))
+    play.turn(20.0, Greeted(False, 20.0))
+    old = play.commands(Sample)[-1].tag
+    play.turn(30.0, Parted(End.RESET), Sampled(old, Gauges()))
+    play.turn(40.0, Greeted(False, 40.0), Sampled(old, Gauges()))
+    assert len(play.commands(Launch)) == 1
+    play.turn(50.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    assert len(play.commands(Launch)) == 2
+
+
 def test_a_stop_that_found_no_link_is_sent_again() -> None:
     play = Play()
     play.ask("aa", 0.0, wait=500.0)
     play.turn(10.0, Parted(End.SILENT))
     play.turn(450.0)
     play.turn(500.0, Greeted(False, 500.0))
-    play.turn(501.0, Sampled("missed", Gauges()))
+    play.turn(501.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
     assert len(play.answers) == 1 and play.commands(Freeze) == [Freeze("aa")]
 
 
@@ -167,3 +191,58 @@
     play.turn(1150.0, RunEnded("dd", Outcome.ERROR, 50.0, b""))
     play.turn(9000.0)
     assert not play.core.kept and not play.core.table and play.core.kept_bytes == 0
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_whatever_comes_in_whatever_order_each_exchange_gets_one_answer_in_time(seed: int) -> None:
+    chance = random.Random(seed)
+    play = Play(group(), group(kind=Kind.MUTATING), share_for=chance.choice([0.0, 500.0]), cores=2)
+    tickets: dict[str, Any] = {}
+    answered_at: dict[str, float] = {}
+    gone: set[str] = set()
+    running: dict[str, float] = {}
+    launched: list[str] = []
+    linked, now, read = True, 0.0, 0
+    while now < 14_000.0:
+        now += chance.choice([1.0, 5.0, 20.0])
+        letters: list[Any] = []
+        before = len(play.answers)
+        if now < 9000.0 and chance.random() < 0.15:
+            ident = f"{len(tickets):x}"
+            about = chance.choice(["", "stop 1", "stop 2"])
+            tickets[ident] = play.ask(ident, now, group=chance.randrange(2), about=about, reached=now - 3.0,
+                                      wait=chance.choice([0.0, 40.0, 300.0, 2000.0, 4000.0]), kb=60.0)
+        if chance.random() < 0.02:
+            linked = not linked
+            letters.append(Greeted(False, now) if linked else Parted(chance.choice(list(End))))
+        for command in play.commanded[read:] if linked else []:
+            if isinstance(command, Launch) and command.ident not in running:
+                launched.append(command.ident)
+                running[command.ident] = now + chance.choice([10.0, 200.0, 200.0, 1e9])
+            elif isinstance(command, Freeze) and running.pop(command.ident, None):
+                letters.append(RunEnded(command.ident, Outcome.CANCELLED, 1.0, b""))
+            elif isinstance(command, Sample) and chance.random() < 0.8:
+                letters.append(Sampled(command.tag, Gauges(1.0, 3.0, 0.2, 4.0)))
+        read = len(play.commanded)
+        for ident in [i for i, end in running.items() if end <= now and linked]:
+            del running[ident]
+            end = chance.choice([Outcome.OK, Outcome.OK, Outcome.OK, Outcome.ERROR, Outcome.CANCELLED])
+            letters += [RunEnded(ident, end, 10.0, b"r")] * chance.choice([1, 1, 2])
+        if tickets and chance.random() < 0.01:
+            ident = chance.choice(list(tickets))
+            gone.add(ident)
+            letters.append(CallersLeft([tickets[ident]]))
+        if now > 9000.0 and play.core.stop_at is None:
+            letters.append(Leave())
+        play.turn(now, *letters)
+        for answer in play.answers[before:]:
+            assert answer.ticket.ident not in answered_at, "two answers"
+            answered_at[answer.ticket.ident] = now
+            if answer.ticket.group == 1 and answer.ticket.ident in launched:
+                assert answer.verdict is not Verdict.DENIED
+    for ident, ticket in tickets.items():
+        at = answered_at.get(ident)
+        assert at is not None or ident in gone
+        assert at is None or at <= ticket.reached + ticket.wait + 25.0
+    mutating = [i for i in launched if tickets[i].group == 1]
+    assert len(mutating) == len(set(mutating)) and len(tickets) > 50 and play.core.unanswered == 0
