--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -157,6 +157,35 @@
     assert read(sock)[1] == 1
 
 
+def test_a_reader_that_takes_nothing_for_long_is_closed(door: Door) -> None:
+    connection, _ = door.open()
+    connection.send(bytes(4_000_000))
+    gevent.sleep(0)
+    gevent.sleep(0)
+    now = connection.last_used
+    door.front.sweep(now)
+    door.front.sweep(now + 4000.0)
+    assert connection.end is None
+    door.front.sweep(now + 6000.0)
+    assert connection.end is End.STUCK
+
+
+def test_a_reset_in_the_middle_of_a_frame_disturbs_nobody_else(door: Door) -> None:
+    accepting = gevent.spawn(door.front.run)
+    address = door.front.listener.getsockname()
+    broken, sound = socket.create_connection(address), socket.create_connection(address)
+    broken.sendall(ask_bytes(1) + ask_bytes(2)[:20])
+    (ticket,) = door.tickets(1)
+    broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    broken.close()
+    assert door.core.mailbox.take(WAIT_S * 1000.0) == [CallersLeft([ticket])]
+    assert ticket.answer.args[0].end is End.RESET
+    sound.sendall(ask_bytes(1))
+    assert len(door.tickets(1)) == 1
+    accepting.kill()
+    door.front.accepting.kill()
+
+
 def test_idle_connections_are_asked_to_close_and_busy_ones_are_not(door: Door) -> None:
     (idle, sock), (busy, other) = door.open(), door.open()
     other.sendall(ask_bytes(1))
@@ -219,6 +248,27 @@
     assert heard[-1].endswith(b'{"phase":"OUT"}') and b"Content-Length: 15\r\n" in heard[-1]
 
 
+def test_a_list_that_never_answers_is_one_failed_report(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("myrtlecrank.roll.actor.CALL_S", 0.05)
+    with gevent.Timeout(3 * WAIT_S), socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        roll = Roll(listener.getsockname(), "n3")
+        assert roll.report(True) is False and roll.sock is None
+
+
+def test_reports_repeat_on_the_beat_once_due_and_never_pile_up() -> None:
+    roll = Roll(("127.0.0.1", 1), "n3")
+    roll.beat(0.0)
+    roll.well, roll.due = True, 0.0
+    for _ in range(5):
+        roll.beat(0.0)
+    assert roll.mailbox.take(0.0) == [True]
+    roll.due = float("inf")
+    roll.beat(0.0)
+    assert not roll.mailbox
+
+
 def test_a_list_that_is_away_is_one_failed_report() -> None:
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -83,6 +83,14 @@
     assert len(kept) == 2 * AT_MOST and f"(and {101 - AT_MOST} more like it" in kept[AT_MOST]
 
 
+def free_address() -> tuple[str, int]:
+    """On a loopback address that no outgoing connection takes its port from."""
+    with socket.socket() as free:
+        free.bind(("127.83.7.1", 0))
+        host, port = free.getsockname()
+        return host, port
+
+
 def start(tmp_path: Path, told: Any, *words: str) -> Any:
     file = tmp_path / "config.json"
     file.write_text(told if isinstance(told, str) else json.dumps(told))
@@ -114,10 +122,8 @@
         listener.bind(("127.0.0.1", 0))
         listener.listen()
         listener.settimeout(60)
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
-    told = copy.deepcopy(WHOLE) | {"listen": f"127.0.0.1:{port}"}
+    address = free_address()
+    told = copy.deepcopy(WHOLE) | {"listen": f"{address[0]}:{address[1]}"}
     told["agent"], told["members"] = (f"127.0.0.1:{s.getsockname()[1]}" for s in (agent, roll))
     process = start(tmp_path, told, "serve")
     try:
@@ -127,7 +133,7 @@
         reports = roll.accept()[0]
         assert b'{"phase":"UP"}' in reports.recv(4096)
         reports.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-        caller = socket.create_connection(("127.0.0.1", port))
+        caller = socket.create_connection(address)
         caller.sendall(ask_bytes(1, s=str(int(time.time() * 1000)), d="30000"))
         heard = b""
         while b"launch" not in heard:
@@ -157,10 +163,7 @@
             "a.Core.run = lambda core: core.turn([], 0.0)\n"
             "from myrtlecrank.cli import main; main(['serve'])")
     file = tmp_path / "config.json"
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
-    file.write_text(json.dumps(changed("listen", f"127.0.0.1:{port}")))
+    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address()))))
     done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
                           capture_output=True, text=True, timeout=60)
     assert done.returncode == 70 and "RuntimeError: boom" in done.stderr
