A connection that makes room has nothing half read, and what still comes off it is passed over

Found by reading (edge/front.py): a frame that came off a connection just closed to make room would have failed its reader, and one with half a frame could be chosen.

--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -67,7 +67,7 @@
     def make_room(self) -> bool:
         """Guards against floods of connections that bring nothing: the one that was idle longest goes, so
         that health checks and exchanges still find a place."""
-        idle = next((c for c in self.connections if not c.open and not c.flushing), None)
+        idle = next((c for c in self.connections if not (c.open or c.flushing or c.incoming)), None)
         if idle is not None:
             idle.close(End.LEFT)
             del self.connections[idle]
@@ -90,6 +90,8 @@
         self.ended(connection)
 
     def asked(self, connection: Connection, ask: codec.Ask) -> None:
+        if connection.end is not None:
+            return
         connection.last_used = unix_ms()
         del self.connections[connection]
         self.connections[connection] = None
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,6 +15,7 @@
 from myrtlecrank.core.letters import Answer, Arrived, CallersLeft, Leave, Verdict
 from myrtlecrank.edge.front import Front
 from myrtlecrank.frames import codec
+from myrtlecrank.frames.ring import Ring
 from myrtlecrank.port import Tenant
 from myrtlecrank.roll.actor import Roll
 
@@ -276,6 +277,26 @@
     assert roll.report(True) is False and roll.sock is None and roll.failing
 
 
+def test_what_still_comes_off_a_connection_that_made_room_is_passed_over() -> None:
+    door = Door(sockets=64 + 1)
+    connection, sock = door.open()
+    assert door.front.make_room() and connection.end is End.LEFT
+    (ask,) = codec.Decoder(filled(ask_bytes(1))).frames()
+    door.front.asked(connection, ask)  # type: ignore[arg-type]
+    assert not door.front.connections and not door.front.callers
+    half, _ = door.open()
+    half.incoming.append(b"half a frame")
+    assert not door.front.make_room()
+    sock.close()
+    door.front.listener.close()
+
+
+def filled(data: bytes) -> Ring:
+    ring = Ring()
+    ring.append(data)
+    return ring
+
+
 def test_a_flood_of_idle_connections_leaves_room_and_busy_ones_stay() -> None:
     with gevent.Timeout(3 * WAIT_S):
         door = Door(sockets=64 + 3)
