SIGHUP reads the configuration again and moves the agent's link and the reports

Cause: serve.py had no handler, and Link and Roll took their address once. Now: orders.py reads the file again, whole or not at all; serve.py tells one line for a file that is senseless or for another backend, names what takes a new start, and hands the addresses to the actors. Link.move leaves the old address in any state (connecting, before the greeting, between tries) and starts its pauses anew; the new link subscribes from the last notice read. Roll.move reports at once to the new list. Signals that come before the handlers wait blocked. On the way: a report whose answer never comes no longer holds up a change of health, and one that was written whole counts for the early exit; a write that fails late no longer drops the link that followed; json that is nested too deep, NaN and senseless numbers are told in one line instead of a trace.

--- a/myrtlecrank/cli.py
+++ b/myrtlecrank/cli.py
@@ -28,12 +28,15 @@
     """Run one backend by the configuration in FILE, or in the file that PROXY_CONFIG names.
 
     SIGTERM is the notice to leave: it answers all that was read and ends within the configured time.
+    SIGHUP reads the configuration again and moves to the agent and the list that it names.
     """
+    from myrtlecrank.serve import hold_signals
     from myrtlecrank.serve import serve as run
 
+    hold_signals()
     told = _read(file)
     try:
-        code = run(told)
+        code = run(told, lambda: orders.read(file))
     except OSError as error:
         address = f"{told.listen[0]}:{told.listen[1]}"
         click.echo(f"myrtlecrank: cannot listen on {address}: {error.strerror}", err=True)
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -5,8 +5,8 @@
 import time
 from collections.abc import Callable
 
-import gevent
 from gevent import socket
+from gevent.event import Event as Flag
 from loguru import logger
 
 from myrtlecrank.core.ends import End, of_error
@@ -16,7 +16,7 @@
 from myrtlecrank.frames.ring import Ring
 from myrtlecrank.port import Gauges, Outcome
 
-FIRST_PAUSE, LONGEST_PAUSE = 0.02, 1.0  # seconds between tries to connect
+FIRST_PAUSE, LONGEST_PAUSE = 0.02, 0.25  # seconds between tries to connect
 CONNECT_S, SILENT_MS = 2.0, 3000.0  # once greeted the agent is asked often, so it is never silent for long
 MAILBOX = 4096
 
@@ -35,6 +35,7 @@
         self.heard = 0.0  # when something last came
         self.sock: socket.socket | None = None
         self.dropped: End | None = None
+        self.moved = Flag()  # the address is another than the one tried last
 
     def run(self) -> None:
         """Reads the link for as long as the program lives."""
@@ -42,14 +43,23 @@
         while True:
             self.greeted = False
             self.dropped = None
+            self.moved.clear()
             end = self._session()
             end = self.dropped or end
             if self.greeted:
                 pause = FIRST_PAUSE
                 logger.warning("the agent's link {}", end.value)
                 self.tell(Parted(end))
-            gevent.sleep(pause)
-            pause = min(LONGEST_PAUSE, 2.0 * pause)
+            moved = self.moved.wait(pause)
+            pause = FIRST_PAUSE if moved else min(LONGEST_PAUSE, 2.0 * pause)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Leaves the old address at once, in whatever state the link is there. What was read counts on: the
+        new link subscribes from it, and what is in doubt is settled as after any link that ended."""
+        if address != self.address:
+            self.address = address
+            self.moved.set()
+            self._drop(End.LEFT)
 
     def write(self) -> None:
         """Writes the commands, many at a time; what finds no link is left to the notices after the next."""
@@ -63,7 +73,8 @@
                 while ring:
                     ring.skip(sock.send(ring.data()))
             except OSError as error:
-                self._drop(of_error(error))
+                if sock is self.sock:  # it may have ended, and another may stand by now
+                    self._drop(of_error(error))
 
     def look(self, _: float) -> None:
         """Guards against a link that hangs without closing, in either direction. Before the first greeting
@@ -73,19 +84,20 @@
 
     def _drop(self, end: End) -> None:
         """The reader wakes, tells the end and opens another."""
-        self.dropped = end
+        self.dropped = self.dropped or end
         if self.sock is not None:
             self.sock.close()
 
     def _session(self) -> End:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.heard, self.outgoing = monotonic_ms(), Ring()
         try:
             sock.settimeout(CONNECT_S)
             sock.connect(self.address)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.sendall(lines.subscribe(self.read))
             sock.settimeout(None)  # the machine may come up long after this
-            self.sock, self.heard, self.outgoing = sock, monotonic_ms(), Ring()
+            self.heard = monotonic_ms()
             return self._notices(sock, Ring())
         except OSError as error:
             return of_error(error)
--- a/myrtlecrank/orders.py
+++ b/myrtlecrank/orders.py
@@ -5,11 +5,14 @@
 import json
 import os
 from dataclasses import dataclass
+from typing import Any, NoReturn
 
 from myrtlecrank.port import Below, StartFacts
 from myrtlecrank.startfacts import FieldError, Fields, gauge_names, start_facts
 
 PATH_VARIABLE = "PROXY_CONFIG"
+LONGEST = 4_000_000  # bytes; a longer file is no configuration, and reading it would fill the memory
+MOVABLE = ("agent", "members")  # what a running process takes over
 
 
 class OrdersError(Exception):
@@ -26,15 +29,21 @@
     sockets: int
     facts: StartFacts
     gauges: list[str]
+    values: dict[str, Any]  # as they were written
+
+    def unlike(self, other: Orders) -> list[str]:
+        """What differs there and takes a new start."""
+        keys = (self.values.keys() | other.values.keys()) - set(MOVABLE)
+        return sorted(key for key in keys if self.values.get(key) != other.values.get(key))
 
 
 def _address(fields: Fields, key: str) -> tuple[str, int]:
     text = fields.text(key)
     host, _, port = text.rpartition(":")
     parts = host.split(".")
-    if len(parts) != 4 or not all(p.isdigit() and int(p) < 256 for p in parts):
+    if len(parts) != 4 or not all(p.isdecimal() and p.isascii() and int(p) < 256 for p in parts):
         raise FieldError(f"{fields.where}: {key!r} is not an IPv4 address with a port: {text!r}")
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    if not (port.isdecimal() and port.isascii() and len(port) < 6) or not 0 < int(port) < 65536:
         raise FieldError(f"{fields.where}: {key!r} has no usable port: {text!r}")
     return host, int(port)
 
@@ -61,15 +70,24 @@
         raise OrdersError(f"no configuration: {PATH_VARIABLE} is not set and no file is named")
     try:
         with open(path, "rb") as file:
-            values = json.loads(file.read())
+            text = file.read(LONGEST + 1)
+        if len(text) > LONGEST:
+            raise OrdersError(f"{path} is longer than {LONGEST} bytes")
+        values = json.loads(text, parse_constant=_no_number)
     except OSError as error:
         raise OrdersError(f"{path} cannot be read: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise OrdersError(f"{path} is not JSON: {error}") from None
     try:
         return parse(Fields(values, path))
     except FieldError as error:
         raise OrdersError(str(error)) from None
+    except (ValueError, TypeError, OverflowError) as error:
+        raise OrdersError(f"{path} holds a senseless value: {error}") from None
+
+
+def _no_number(text: str) -> NoReturn:
+    raise ValueError(f"{text} is no number")
 
 
 def parse(fields: Fields) -> Orders:
@@ -90,4 +108,5 @@
         sockets=int(_positive(fields.inner("limits"), "sockets")),
         facts=facts,
         gauges=gauge_names(conf),
+        values=fields.values,
     )
--- a/myrtlecrank/roll/actor.py
+++ b/myrtlecrank/roll/actor.py
@@ -34,8 +34,10 @@
         self.mailbox: Mailbox[bool] = Mailbox(64)
         self.well: bool | None = None  # nothing is reported before the start
         self.due = float("inf")  # when the next report is
-        self.told: bool | None = None  # what the list has last confirmed
+        self.told: bool | None = None  # what the list has last been told
         self.sock: socket.socket | None = None
+        self.calling: bool | None = None  # the report that is under way
+        self.sent = False  # it was written whole
         self.failing = False
 
     def run(self) -> None:
@@ -44,6 +46,22 @@
             done = self.report(self.well)
             self.due = time.monotonic() * 1000.0 + (EVERY_MS if done else AGAIN_MS)
 
+    def tell(self, well: bool) -> None:
+        """Reports a change at once: the answer to a report that says otherwise is no longer waited for, as
+        the list may never give it."""
+        self.mailbox.post(well)
+        if self.calling is not None and self.calling is not well:
+            self._close()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Leaves the old address at once and reports to the new one."""
+        if address == self.address:
+            return
+        self.address, self.told = address, None
+        self._close()
+        if self.well is not None and not self.mailbox:
+            self.mailbox.post(self.well)
+
     def beat(self, _: float) -> None:
         """Hangs on the module's beat: were that to stop, the entry would lapse, as it should."""
         if self.well is not None and time.monotonic() * 1000.0 >= self.due and not self.mailbox:
@@ -52,6 +70,7 @@
     def report(self, well: bool) -> bool:
         """One call, on the connection of the last if it still stands."""
         fresh = self.sock is None
+        self.calling, self.sent = well, False
         try:
             with gevent.Timeout(CALL_S, TimeoutError):
                 end = self._call(well)
@@ -60,9 +79,11 @@
         except TimeoutError:
             self._close()
             end = End.SILENT
-        self._note(end)
-        if end is None:
-            self.told = well
+        self.calling = None
+        if end is not End.LEFT:
+            self._note(end)
+        if end is None or (end is End.SILENT and self.sent):
+            self.told = well  # a report that arrived whole counts without its answer
         return end is None
 
     def _call(self, well: bool) -> End | None:
@@ -70,16 +91,18 @@
         head = f"PUT /members/{self.name} HTTP/1.1\r\nHost: members\r\nContent-Length: {len(body)}\r\n\r\n"
         reply = _Reply()
         try:
-            if self.sock is None:
-                self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                self.sock.connect(self.address)
-                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock = self.sock
+            if sock is None:
+                sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                sock.connect(self.address)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             outgoing, incoming = Ring(), Ring()
             outgoing.append(head.encode() + body)
             while outgoing:
-                outgoing.skip(self.sock.send(outgoing.data()))
+                outgoing.skip(sock.send(outgoing.data()))
+            self.sent = True
             while not reply.whole:
-                count = self.sock.recv_into(incoming.room())
+                count = sock.recv_into(incoming.room())
                 if not count:
                     self._close()
                     return End.CLOSED
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -15,7 +15,7 @@
 from myrtlecrank.core.letters import Leave
 from myrtlecrank.edge.front import Front
 from myrtlecrank.farm.link import Link
-from myrtlecrank.orders import Orders
+from myrtlecrank.orders import Orders, OrdersError
 from myrtlecrank.roll.actor import Roll
 
 FAILED = 70  # exit code after an error of our own
@@ -23,14 +23,23 @@
 LAST_MS = 60.0  # before the process is stopped, it ends by itself
 
 
-def serve(orders: Orders) -> int:
-    """Runs one backend until the notice to leave has been followed; its exit code."""
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+def hold_signals() -> None:
+    """Guards against a signal that comes before serve() can follow it: it waits instead of ending us."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+
+def serve(orders: Orders, again: Callable[[], Orders]) -> int:
+    """Runs one backend until the notice to leave has been followed; its exit code. `again` reads the
+    configuration once more."""
     log.to_stderr()
     # The numeric addresses need no look-up, and so no threads for it.
     gevent.config.resolver = "block"
     link: Link
     roll = Roll(orders.members, orders.name)
-    core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.mailbox.post)
+    core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.tell)
     link = Link(orders.agent, orders.gauges, core.mailbox.post)
     over, code = Flag(), [0]
 
@@ -58,11 +67,30 @@
         logger.info("leaves with {} exchanges, {} connections", core.unanswered, len(front.connections))
         over.set()
 
+    def reload() -> None:
+        """The agent and the list may have moved; all else is as it was at the start."""
+        try:
+            told = again()
+        except OrdersError as error:
+            logger.error("the old configuration goes on: {}", error)
+            return
+        if told.name != orders.name:
+            logger.error("the old configuration goes on: the new one is for {!r}", told.name[:40])
+            return
+        unlike = orders.unlike(told)
+        if unlike:
+            logger.warning("these take a new start and stay as they were: {}", ", ".join(unlike)[:200])
+        logger.info("configuration read: agent {}:{}, list {}:{}", *told.agent, *told.members)
+        link.move(told.agent)
+        roll.move(told.members)
+
     core_left = Flag()
     core.on_leave.append(core_left.set)
     core.on_beat += [link.look, roll.beat]
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, core.mailbox.post, Leave())
+    gevent.signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
         spawn(work)
     logger.info("{} listens on {}:{}", orders.name, *orders.listen)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -258,6 +258,39 @@
         assert roll.report(True) is False and roll.sock is None
 
 
+def test_a_change_and_a_move_wait_for_no_answer_that_never_comes() -> None:
+    heard: list[bytes] = []
+
+    def silent(listener: Any) -> None:
+        while True:
+            sock, _ = listener.accept()
+            heard.append(sock.recv(4096)[-15:] + sock.recv(10))
+
+    with gevent.Timeout(3 * WAIT_S), socket.socket() as old, socket.socket() as new:
+        for listener in (old, new):
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+        actors = [gevent.spawn(silent, old)]
+        roll = Roll(old.getsockname(), "n3")
+        actors.append(gevent.spawn(roll.run))
+        roll.tell(True)
+        with gevent.Timeout(0.8, AssertionError("the change waited")):
+            while roll.calling is not True or not roll.sent:
+                gevent.sleep(0.001)
+            roll.tell(False)
+            while len(heard) < 1 or roll.calling is not False or not roll.sent:
+                gevent.sleep(0.001)
+            actors.append(gevent.spawn(silent, new))
+            roll.move(new.getsockname())
+            while len(heard) < 2 or not roll.sent:
+                gevent.sleep(0.001)
+        assert roll.told is None and not roll.failing
+        while roll.told is not False:
+            gevent.sleep(0.01)  # unanswered, but it arrived whole
+        gevent.killall(actors)
+    assert [said[-13:] for said in heard[:2]] == [b'"phase":"UP"}', b'phase":"OUT"}']
+
+
 def test_reports_repeat_on_the_beat_once_due_and_never_pile_up() -> None:
     roll = Roll(("127.0.0.1", 1), "n3")
     roll.beat(0.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -74,6 +74,27 @@
     assert "\n" not in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [("[" * 100_000, "not JSON"), ('{"stop_ms": NaN}', "not JSON"), (" " * 4_000_001, "longer than"),
+     (json.dumps(changed("stop_ms", 10**400)), "senseless"),
+     (json.dumps(changed("agent", "1.2.3.\u00b2:7")), "IPv4")],
+)
+def test_whatever_a_file_holds_reading_it_fails_with_one_line(
+    text: str, message: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(text)
+    with pytest.raises(orders.OrdersError, match=message):
+        orders.read(str(file))
+
+
+def test_what_a_running_process_cannot_take_over_is_named() -> None:
+    old = orders.parse(Fields(WHOLE, "it"))
+    new = orders.parse(Fields(changed("seed", "ab") | {"agent": "127.0.0.1:1", "stop_ms": 5}, "it"))
+    assert old.unlike(new) == ["seed", "stop_ms"] and not old.unlike(orders.parse(Fields(WHOLE, "it")))
+
+
 def test_lines_that_repeat_are_counted_instead() -> None:
     sparing, kept = Sparing(), []
     for i in range(200):
@@ -156,6 +177,91 @@
         process.kill()
 
 
+def listening() -> Any:
+    made = socket.socket()
+    made.bind(("127.0.0.1", 0))
+    made.listen()
+    made.settimeout(30)
+    return made
+
+
+def until(sock: Any, wanted: bytes) -> bytes:
+    heard = b""
+    while wanted not in heard:
+        piece = sock.recv(4096)
+        assert piece, heard
+        heard += piece
+    return heard
+
+
+def test_a_new_configuration_moves_link_and_reports_and_runs_go_on(tmp_path: Path) -> None:
+    """SIGHUP before the greeting, twice under a run, with a broken file between, and while draining."""
+    agents, lists = [listening() for _ in range(4)], [listening() for _ in range(4)]
+    address = free_address()
+    file = tmp_path / "config.json"
+
+    def told(number: int) -> dict[str, Any]:
+        places = {"agent": agents[number], "members": lists[number]}
+        fixed = copy.deepcopy(WHOLE) | {"listen": f"{address[0]}:{address[1]}", "stop_ms": 20_000}
+        return fixed | {k: f"127.0.0.1:{s.getsockname()[1]}" for k, s in places.items()}
+
+    process = start(tmp_path, told(0), "serve")
+
+    def hang_up(text: str) -> None:
+        file.write_text(text)
+        process.send_signal(signal.SIGHUP)
+
+    try:
+        first = agents[0].accept()[0]
+        until(first, b"subscribe 0\r\n")
+        hang_up(json.dumps(told(1)))
+        link = agents[1].accept()[0]
+        until(link, b"subscribe 0\r\n")
+        assert first.recv(100) == b""
+        link.sendall(b"greeting LOADED 9000\r\n")
+        until(lists[1].accept()[0], b'{"phase":"UP"}')
+        caller = socket.create_connection(address)
+        caller.sendall(ask_bytes(1, s=str(int(time.time() * 1000)), d="30000"))
+        until(link, b"launch")
+        link.sendall(b"aside 7 hello\r\n")
+        for text in ("{", json.dumps(told(3) | {"name": "n4"}), ""):
+            hang_up(text)
+            time.sleep(0.1)
+        hang_up(json.dumps(told(2) | {"seed": "ab"}))
+        moved = agents[2].accept()[0]
+        until(moved, b"subscribe 7\r\n")
+        moved.sendall(b"greeting LOADED 9500\r\noutcome 8 0000000000000001 PASS 5 2\r\nok\r\n")
+        assert caller.recv(100).endswith(b"ok")
+        until(lists[2].accept()[0], b'{"phase":"UP"}')
+        process.send_signal(signal.SIGTERM)
+        assert caller.recv(100)[4] == 30
+        hang_up(json.dumps(told(3)))
+        until(agents[3].accept()[0], b"subscribe 8\r\n")
+        roll = lists[3].accept()[0]
+        until(roll, b'{"phase":"OUT"}')
+        roll.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        caller.close()
+        _, err = process.communicate(timeout=60)
+        assert process.returncode == 0 and "Traceback" not in err
+        assert err.count("old configuration goes on") == 3 and "as they were: seed" in err
+    finally:
+        process.kill()
+
+
+def test_a_signal_that_comes_before_the_start_waits_for_it(tmp_path: Path) -> None:
+    text = ("import os, signal\nfrom myrtlecrank import orders\nread = orders.read\n"
+            "def slow(file):\n"
+            "    os.kill(os.getpid(), signal.SIGHUP)\n    os.kill(os.getpid(), signal.SIGTERM)\n"
+            "    return read(file)\n"
+            "orders.read = slow\n"
+            "from myrtlecrank.cli import main; main(['serve'])")
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address())) | {"stop_ms": 300}))
+    done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0 and "notice to leave" in done.stderr
+
+
 def test_an_error_in_an_actor_ends_the_process_with_its_trace(tmp_path: Path) -> None:
     text = ("import myrtlecrank.core.actor as a\n"
             "def broken(*_): raise RuntimeError('boom')\n"
