A leaving backend serves and is reachable until the end of its grace

Two of three backends leave; each closed its listener and said 0 at the notice and was gone 0.6 s later, while callers learn of it 2 to 4 s late and the new ones are not listed yet. So it was the value that kept callers away from idle cores, and after the grace a refused connection beats a denial. At fault: Controller.leave's publish, Core._leave's hooks. Now leave() tells until when arrivals may run, the value stays till then, and the listener closes then.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -76,7 +76,7 @@
         self.facts, self.stop_ms = facts, stop_ms
         self.command, self.tell_health = command, tell_health
         self.on_beat: list[Callable[[float], None]] = []
-        self.on_leave: list[Callable[[], None]] = []
+        self.on_shut: list[Callable[[], None]] = []
         self.now = unix_ms() if now is None else now
         self.controller: Controller | None = None
         self.linked = False
@@ -162,13 +162,17 @@
             return
         logger.info("notice to leave, {} exchanges in hand", self.unanswered)
         self.stop_at = self.now + self.stop_ms
-        self.board.leaving = True
         if self.controller is not None:
-            self.controller.leave(self.stop_ms, self.now)
+            self._at(self.controller.leave(self.stop_ms, self.now), self._shut)
         else:
             self.board.well = False
             self.tell_health(False)
-        for hook in self.on_leave:
+            self._shut()
+
+    def _shut(self) -> None:
+        """Nothing that comes from now on would run."""
+        self.board.shut = True
+        for hook in self.on_shut:
             hook()
 
     # Exchanges
--- a/myrtlecrank/core/board.py
+++ b/myrtlecrank/core/board.py
@@ -10,4 +10,4 @@
     well: bool = True
     value: float | None = None  # the published value
     idle: float = 0.0  # connections that idle longer are closed; 0: left to the callers
-    leaving: bool = False
+    shut: bool = False  # nothing that comes would run any more
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -39,7 +39,7 @@
         self.listener.listen(BACKLOG)
         self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
         core.on_beat.append(self.sweep)
-        core.on_leave.append(self.leave)
+        core.on_shut.append(self.shut)
 
     def run(self) -> None:
         """Accepts until the notice to leave."""
@@ -48,7 +48,7 @@
         self.accepting.get()
 
     def _accept(self) -> None:
-        while not self.board.leaving:
+        while not self.board.shut:
             try:
                 socket.wait_read(self.listener.fileno())
                 if len(self.connections) >= self.most and not self.make_room():
@@ -56,7 +56,7 @@
                     continue
                 sock, _ = self.listener.accept()
             except OSError as error:
-                if self.board.leaving or error.errno == errno.EBADF:
+                if self.board.shut or error.errno == errno.EBADF:
                     return
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     logger.warning("no descriptor for a new connection")
@@ -136,7 +136,7 @@
             elif now - connection.away_at > AWAY_MS:
                 connection.close(End.LEFT)
 
-    def leave(self) -> None:
+    def shut(self) -> None:
         """No new connection, and no new exchange on those that stand. What the machine has accepted already
         is ours: it is taken off the listener before that closes, lest it be reset."""
         if self.accepting is not None:
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -33,6 +33,7 @@
 SLOW, SICK, SICK_MS = 3.5, 5.0, 5000.0  # times the usual run; ends owed; how long it stays away
 LINKS_PER_CORE = 8.0  # idle connections kept open
 LEAST_WEIGHT, LEAST_CREDIT = 0.45, 1.0  # the published value does not fall below these
+NEVER = float("inf")
 
 
 Place = Enum("Place", "HELD RUNNING AT_CALL CALLING JOINED OVER")
@@ -116,7 +117,7 @@
         self.groups = [Group(g) for g in facts.groups]
         self.shortest_slo = min(g.slo for g in self.groups)
         self.shares = [t.per_second / 1000.0 / max(1, facts.backends) for t in facts.tenants]
-        self.rates = [0.0 for _ in facts.tenants]
+        self.rates = [0.0] * len(facts.tenants)
         self.spans = [max(RATE_MS, RATE_EVENTS / max(1e-6, s)) for s in self.shares]
         self.over_benefit, self.by_work = facts.over_share_benefit, facts.benefit_by_work
         self.cores, self.memory_kb, self.run_weight = facts.cores, facts.memory_kb, facts.run_weight
@@ -146,13 +147,11 @@
         self.limit, self.spare, self.spare_step = float(self.cores), SPARE, SPARE_STEP
         self.done, self.done_before, self.busy_beats = 0.0, 0.0, 0
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
-        self.on_cores, self.memory_gauge, self.pressed_samples, self.beats = 0.0, 0.0, 0, 0
-        self.unread, self.reading = 0.0, float("inf")
-        self.owed, self.ended, self.ends, self.last_end = 0.0, 0, 0, now
+        self.on_cores = self.memory_gauge = self.unread = self.owed = 0.0
+        self.pressed_samples = self.beats = self.ended = self.ends = 0
         self.clogged, self.useless, self.starts, self.sick_ms = False, False, 0, SICK_MS
-        self.slowness, self.sick_until, self.waits = 1.0, 0.0, float("inf")
-        self.leaving: float | None = None  # when the notice to leave came
-        self.stop_at = float("inf")
+        self.slowness, self.sick_until, self.last_end, self.reading, self.waits = 1.0, 0.0, now, NEVER, NEVER
+        self.stop_at = self.until = NEVER  # after the notice to leave; from `until` on no arrival runs
         top = {Meaning.CREDIT: 2.0 * self.cores, Meaning.WEIGHT: 1.0, Meaning.LEVEL: 1.0}
         self.open_to, self.said = top.get(self.meaning, 0.0), -1.0
         self.open_at_most = self.open_to
@@ -280,7 +279,7 @@
         """What callers should do instead of asking at once again. The hold bridges passing noise: where it
         is full, others likely are too, and a walk from one to the next costs each a reading. So nothing
         elsewhere, unless this one is sick. The wait is spread, lest all who heard come back at once."""
-        if self.leaving is not None:
+        if self.until < NEVER:
             return port.Deny(c.ex, False, self.wait_limit)
         alone = self.sick_until > 0.0  # others are likely to be better off
         wait = self.wait_limit if alone else self.chance() * min(self.wait_spread, self._wait() + self.unread)
@@ -325,9 +324,8 @@
         return use - 0.7 * self._expected(c)
 
     def _refused(self, c: Course) -> bool:
-        if self.leaving is not None and c.reached > self.leaving + self.grace - self.margin:
-            return True
-        if self.stop_at - self.now < 2.0 * self.margin or self._last_use(c) < self.now:
+        late = self.now > min(self._last_use(c), self.stop_at - 2.0 * self.margin)
+        if late or c.reached > self.until:
             return True
         if max(self.memory_gauge, self.used_kb / self.memory_kb) > REFUSE_MEMORY:
             return True
@@ -501,10 +499,13 @@
         self._start_calls()
         self._start_held()
 
-    def leave(self, left: float, now: float) -> None:
-        self.now, self.leaving, self.stop_at = now, now, now + left
+    def leave(self, left: float, now: float) -> float:
+        """Until when arrivals may still run. What callers hear falls to nothing then, not now: they learn of
+        the notice late, and those that could be served here would find the others full."""
+        self.now, self.stop_at = now, now + left
+        self.until = min(now + self.grace - self.margin, self.stop_at - 2.0 * self.margin)
         self.do(port.Health(False, True))
-        self._publish()
+        return self.until
 
     def alarm(self, name: str, gauges: port.Gauges, now: float) -> None:
         self.now = now
@@ -564,7 +565,7 @@
         if self.beats % CPU_SPAN == 0:
             # A crowd beyond runs and a reading a core is handshakes: a storm of callers, and no sickness.
             crowded = self.on_cores > 2.5 * self.cores
-            self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9 and not crowded, float("inf")
+            self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9 and not crowded, NEVER
             self.useless, self.starts = self.clogged and self.starts == 0, 0
         hung = bool(runs) and self.now - self.last_end > 10.0 * BEAT
         slow = (self.reading < self.waits / 1.5 < 1e9 or hung) and self.owed > SICK and self._warmth() >= 1.0
@@ -578,8 +579,8 @@
             if well or self.now > self.sick_until:
                 self.sick_ms = SICK_MS if well else self.sick_ms
                 self.sick_until, self.owed = 0.0, min(self.owed, 0.5 * SICK)
-                self.reading = float("inf")  # while the work hung, reading took no time at all
-                self.do(port.Health(self.leaving is None, True))
+                self.reading = NEVER  # while the work hung, reading took no time at all
+                self.do(port.Health(self.until == NEVER, True))
 
     def _duress(self, busy: float) -> None:
         """The source's search backpressure: after three pressed samples the highest score goes."""
@@ -617,7 +618,7 @@
             self.open_to = min(self.open_to, 2.0 + self.held + len(self.running))
         # Reading costs a cold backend several times as much: it asks for its part of the traffic only.
         self.open_to = max(self.open_at_least, min(self.open_at_most * self._warmth(), self.open_to))
-        value = 0.0 if self.leaving is not None else self.open_to
+        value = 0.0 if self.now > self.until else self.open_to
         if self.meaning is Meaning.LEVEL:
             value = 1.0 - value
         if abs(value - self.said) > 0.04 * self.said:
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -58,9 +58,8 @@
     front = Front(orders.listen, orders.sockets, core, spawn)
 
     def watch_leaving() -> None:
-        while core.stop_at is None:
-            core_left.wait()
-        while unix_ms() < core.stop_at - LAST_MS:
+        core_shut.wait()
+        while unix_ms() < (core.stop_at or 0.0) - LAST_MS:
             if not core.unanswered and not front.connections and roll.told is False:
                 break
             gevent.sleep(LOOK_S)
@@ -84,8 +83,8 @@
         link.move(told.agent)
         roll.move(told.members)
 
-    core_left = Flag()
-    core.on_leave.append(core_left.set)
+    core_shut = Flag()
+    core.on_shut.append(core_shut.set)
     core.on_beat += [link.look, roll.beat]
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, core.mailbox.post, Leave())
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -165,13 +165,16 @@
 def test_a_notice_to_leave_turns_health_bad_once_and_all_is_answered_before_the_stop() -> None:
     play = Play()
     left: list[Any] = []
-    play.core.on_leave.append(lambda: left.append(1))
-    for i in range(12):
+    play.core.on_shut.append(lambda: left.append(1))
+    for i in range(6):
         play.ask(f"a{i}", 0.0)
     play.turn(10.0, Leave())
     play.turn(20.0, Leave())
-    assert left == [1] and play.health[-1] is False and play.core.stop_at == 3210.0
+    assert left == [] and play.health[-1] is False and play.core.stop_at == 3210.0
+    play.ask("soon", 800.0, reached=800.0)
+    assert "soon" in play.core.table and not play.core.board.shut
     play.ask("late", 2500.0, reached=2500.0)
+    assert left == [1] and play.core.board.shut
     assert play.answers[-1].verdict is Verdict.DENIED and "late" not in play.core.table
     for now in range(2500, 3210, 50):
         play.turn(float(now))
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -199,22 +199,25 @@
     assert idle.end is End.LEFT and read(sock) == (0, 0, b"")
 
 
-def test_a_notice_to_leave_closes_the_listener_but_takes_what_crosses(door: Door) -> None:
+def test_the_listener_closes_once_nothing_more_would_run_and_what_crosses_is_taken(door: Door) -> None:
     _, sock = door.open()
     sock.sendall(ask_bytes(1))
     door.tickets(1)
     door.play.turn(0.0, Leave())
-    assert read(sock) == (codec.AWAY, 0, b"") and door.front.listener.closed
     sock.sendall(ask_bytes(2))
+    assert len(door.tickets(1)) == 1 and not door.front.listener.closed
+    door.play.turn(1000.0)
+    assert read(sock) == (codec.AWAY, 0, b"") and door.front.listener.closed
+    sock.sendall(ask_bytes(3))
     assert len(door.tickets(1)) == 1
 
 
-def test_what_the_machine_accepted_before_the_notice_is_still_taken(door: Door) -> None:
+def test_what_the_machine_accepted_before_the_listener_closes_is_still_taken(door: Door) -> None:
     with socket.socket() as caller:
         caller.settimeout(WAIT_S)
         caller.connect(door.front.listener.getsockname())
         caller.sendall(ask_bytes(1))
-        door.front.leave()
+        door.front.shut()
         assert len(door.tickets(1)) == 1
 
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -142,13 +142,22 @@
 
 
 def test_what_arrives_after_the_grace_does_not_run() -> None:
-    controller, ops = backend()
-    controller.leave(5000.0, 0.0)
-    assert of(ops, Health)[0].on is False
+    controller, ops = backend(meaning=Meaning.CREDIT)
+    until = controller.leave(5000.0, 0.0)
+    assert of(ops, Health)[0].on is False and 800.0 < until < 1000.0
     early, late = arrive(controller, 500.0), arrive(controller, 1200.0)
     assert of(ops, Start, early) and of(ops, Deny, late) and not of(ops, Start, late)
 
 
+def test_a_backend_that_leaves_draws_traffic_until_nothing_more_would_run() -> None:
+    controller, ops = backend(meaning=Meaning.CREDIT)
+    until = controller.leave(5000.0, 0.0)
+    for now in range(100, 1001, 100):
+        controller.alarm("beat", Gauges(0.1), float(now))
+        assert (controller.said > 0.0) == (now <= until), now
+    assert until < 1000.0 and of(ops, Publish)[-1].value == 0.0
+
+
 def test_all_is_answered_before_the_stop() -> None:
     controller, ops = backend(group(Kind.DEDUPLICATED))
     exes = fill(controller, 6, 0.0)
