Fewer hops and copies on the way of an exchange; unfinished frames and silent connections end

Fairness: a socket that is always ready never waits, so a reader gives way after 16 reads, the agent's link after a full read, the module's actor after 128 letters. Bad clients: a connection whose frame is not whole after 2 s of our running time (the first frame included) is closed; a broken one hears the error and is closed at once; fields only in plain spelling, memory above 0; a frame over 16 KiB is answered on its head; one under a name in use waits until the agent has taken in or refused the first, so the real one is served whichever came first; half-read newcomers make room where nothing is idle; 24 descriptors are kept back instead of 64. Bad peers: what found no link any more is known never to have left. Connections are looked after before the greeting too.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -7,9 +7,12 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 
+import gevent
+from gevent import get_hub
 from loguru import logger
 
 from myrtlecrank import port
@@ -30,6 +33,7 @@
     Sample,
     Sampled,
     Ticket,
+    Unsent,
     Verdict,
 )
 from myrtlecrank.core.mailbox import Mailbox
@@ -37,9 +41,13 @@
 from myrtlecrank.port import Gauges, Kind, Outcome
 
 MAILBOX = 2048
+TURN = 128  # letters taken in one turn: a long batch would keep the loop from the sockets
+RIVAL_MS = 1000.0  # the longest that one waits for what stands under its name
+LAST_MS = 200.0  # before the stop they are all answered
+IDLE_BEAT_MS = 100.0  # between beats while there is no controller to ask for them
 RESULT_AT_MOST = 5120  # a result and what stands around it
 KEPT_BYTES = 24_000_000  # results kept for repeats, of the program's own memory
-Do = Callable[[], None]
+Do = Callable[[], object]
 
 
 def unix_ms() -> float:
@@ -49,8 +57,8 @@
 class Entry:
     """One exchange in the table, from its arrival until nothing can ask for it any more."""
 
-    __slots__ = ("answered", "doubt", "earlier", "ended_at", "ex", "joiners", "outcome", "result", "running",
-                 "stopping", "ticket")
+    __slots__ = ("answered", "doubt", "earlier", "ended_at", "ex", "genuine", "joiners", "launch", "outcome",
+                 "result", "rivals", "running", "stopping", "ticket")
 
     def __init__(self, ticket: Ticket, ex: port.Exchange, earlier: Entry | None) -> None:
         self.ticket, self.ex, self.earlier = ticket, ex, earlier
@@ -60,6 +68,9 @@
         self.ended_at = 0.0
         self.result = b""
         self.joiners: list[Entry] = []
+        self.launch = 0  # which of the commands its launch was
+        self.genuine = False  # the agent ran it, so no other under its name can be the one it knows
+        self.rivals: list[Ticket] = []  # others that came under its name
 
 
 class Core:
@@ -87,16 +98,34 @@
         self.kept: dict[tuple[int, str], tuple[Entry, float]] = {}
         self.kept_bytes = 0
         self.timers: list[tuple[float, int, Do]] = []
-        self.order = count().__next__
+        self.order = count(1).__next__
         self.sampled: str | None = None  # the tag of the sample that a beat waits for
+        self.taken_in = 0  # the last command that is known to have come through to the agent
+        self.contested: dict[Entry, None] = {}  # those with rivals
         self.alarm = ("", 0.0)
         self.alarm_due = 0.0
         self.stop_at: float | None = None
+        self.timer, self.timer_due = get_hub().loop.timer(0.0), 0.0
+        self._idle_beat()
 
     def run(self) -> None:
         while True:
-            wait = max(0.0, self.timers[0][0] - unix_ms()) if self.timers else None
-            self.turn(self.mailbox.take(wait), unix_ms())
+            self._wind()
+            self.turn(self.mailbox.take(most=TURN), unix_ms())
+            if self.mailbox:
+                gevent.sleep(0)
+
+    def _wind(self) -> None:
+        """One timer of the loop wakes this actor for what is due first: cheaper than a time-out on each."""
+        due = self.timers[0][0] if self.timers else self.timer_due
+        if due != self.timer_due:
+            self.timer.close()
+            self.timer_due, self.timer = due, get_hub().loop.timer(max(0.0, due - unix_ms()) / 1000.0)
+            self.timer.start(self._ring)
+
+    def _ring(self) -> None:
+        self.timer_due = 0.0
+        self.mailbox.wake()
 
     def turn(self, letters: list[Event], now: float) -> None:
         """One batch: the letters, what is due, then what the module makes of it."""
@@ -112,8 +141,8 @@
         match letter:
             case Arrived(ticket):
                 self._arrived(ticket)
-            case RunEnded(ident, outcome, took, result):
-                self._run_ended(ident, outcome, took, result)
+            case RunEnded(ident, outcome, took, result, refused):
+                self._run_ended(ident, outcome, took, result, refused)
             case Sampled(tag, gauges):
                 self._sampled(tag, gauges)
             case CallersLeft(tickets):
@@ -128,6 +157,11 @@
                 for entry in self.table.values():
                     if entry.running and entry.doubt is None:
                         entry.doubt = lost
+            case Unsent(idents):
+                for ident in idents:
+                    standing = self.table.get(ident)
+                    if standing is not None and standing.running:
+                        standing.doubt = Outcome.UNREACHED
             case Leave():
                 self._leave()
 
@@ -137,8 +171,7 @@
         self.linked = True
         if self.controller is not None:
             # The notices that were missed come first; what they leave in doubt is settled after them.
-            self.missed = f"m{self.order()}"
-            self.command(Sample(self.missed))
+            self.missed = self._sample("m")
             return
         self.facts.cold = cold
         logger.info("the machine is up for {:.0f} ms, {}", up, "cold" if cold else "warm")
@@ -162,6 +195,7 @@
             return
         logger.info("notice to leave, {} exchanges in hand", self.unanswered)
         self.stop_at = self.now + self.stop_ms
+        self._at(self.stop_at - LAST_MS, self._beat_rivals)
         if self.controller is not None:
             self._at(self.controller.leave(self.stop_ms, self.now), self._shut)
         else:
@@ -178,12 +212,14 @@
     # Exchanges
 
     def _arrived(self, ticket: Ticket) -> None:
-        if self.controller is None or ticket.ident in self.table:
-            # Before the start nothing runs, and one name cannot stand for two runs.
-            why = "before the start" if self.controller is None else "under a name in use"
-            logger.warning("an exchange {} is terminated", why)
+        if self.controller is None:
+            logger.warning("an exchange is terminated: it came before the start")
             ticket.answer(Answer(ticket, Verdict.TERMINATED))
             return
+        standing = self.table.get(ticket.ident)
+        if standing is not None:
+            self._contest(standing, ticket)
+            return
         waited = max(0.0, self.now - ticket.reached)
         earlier = self._earlier(ticket)
         ex = port.Exchange(
@@ -204,17 +240,54 @@
 
     def _caller_left(self, ticket: Ticket) -> None:
         entry = self.table.get(ticket.ident)
+        if entry is not None and entry.ticket is not ticket:
+            self._beaten(entry, ticket)
         if entry is None or entry.ticket is not ticket or entry.answered or self.controller is None:
             return
         self._answered(entry)
         self.controller.caller_left(entry.ex, self.now)
         self._tidy(entry)
 
-    def _run_ended(self, ident: str, outcome: Outcome, took: float, result: bytes) -> None:
+    def _contest(self, standing: Entry, ticket: Ticket) -> None:
+        """One name cannot stand for two runs, and only the agent knows which of two is the real one: the
+        second waits, not for long, until the agent has taken in or refused the first. Guards against clients
+        that use the names of others, before or after them."""
+        self.unanswered += 1
+        standing.rivals.append(ticket)
+        self.contested[standing] = None
+        self._at(self.now + RIVAL_MS, lambda: self._beaten(standing, ticket))
+        self._decide(standing)
+
+    def _decide(self, standing: Entry) -> None:
+        """Once the agent has run what stands under a name, the others under it are done."""
+        if standing.running and 0 < standing.launch <= self.taken_in and standing.doubt is None:
+            standing.genuine = True
+        if standing.genuine:
+            self._beat_all(standing)
+
+    def _beat_all(self, standing: Entry) -> None:
+        for ticket in list(standing.rivals):
+            self._beaten(standing, ticket)
+
+    def _beat_rivals(self) -> None:
+        for standing in list(self.contested):
+            self._beat_all(standing)
+
+    def _beaten(self, standing: Entry, ticket: Ticket) -> None:
+        if ticket in standing.rivals:
+            standing.rivals.remove(ticket)
+            if not standing.rivals:
+                self.contested.pop(standing, None)
+            self.unanswered -= 1
+            logger.warning("an exchange is terminated: it came under a name in use")
+            ticket.answer(Answer(ticket, Verdict.TERMINATED))
+
+    def _run_ended(self, ident: str, outcome: Outcome, took: float, result: bytes, refused: bool) -> None:
         entry = self.table.get(ident)
         if entry is None or not entry.running:
             return
         entry.running = False
+        entry.genuine = not refused
         self._ended(entry, outcome, took, result)
 
     def _ended(self, entry: Entry, outcome: Outcome, took: float, result: bytes) -> None:
@@ -249,6 +322,17 @@
         if entry.answered and not entry.running and self.table.get(entry.ticket.ident) is entry:
             del self.table[entry.ticket.ident]
             del self.entries[entry.ex]
+            entry.ex.course = None  # or the two would hold each other until the collector comes
+            self._decide(entry)
+            rivals, entry.rivals = entry.rivals, []
+            self.contested.pop(entry, None)
+            for ticket in rivals:
+                self._at(self.now, partial(self._again, ticket))
+
+    def _again(self, ticket: Ticket) -> None:
+        """What stood under its name is gone and was not the real one, or never ran."""
+        self.unanswered -= 1
+        self._arrived(ticket)
 
     # What the module asks for
 
@@ -297,6 +381,7 @@
     def _launch(self, entry: Entry) -> None:
         if self.linked:
             group = self.facts.groups[entry.ticket.group].name
+            entry.launch, entry.doubt = self.order(), None
             self.command(Launch(entry.ticket.ident, group, entry.ticket.body))
         else:
             entry.doubt = Outcome.UNREACHED
@@ -308,16 +393,34 @@
 
     def _alarm_is_due(self) -> None:
         """Asks for the gauges, whose arrival is the alarm; without them it comes one delay later."""
-        tag = self.sampled = f"b{self.order()}"
+        tag = self.sampled = self._sample("b")
+        self._at(self.now + self.alarm[1], lambda: self._sampled(tag, Gauges(), late=True))
+        self._beat()
+        for key in [key for key, (_, until) in self.kept.items() if self.now > until]:
+            self._drop(key)
+
+    def _sample(self, kind: str) -> str:
+        number = self.order()
         if self.linked:
-            self.command(Sample(tag))
-        self._at(self.now + self.alarm[1], lambda: self._sampled(tag, Gauges()))
+            self.command(Sample(f"{kind}{number}"))
+        return f"{kind}{number}"
+
+    def _beat(self) -> None:
         for hook in self.on_beat:
             hook(self.now)
-        for key in [key for key, (_, until) in self.kept.items() if self.now > until]:
-            self._drop(key)
 
-    def _sampled(self, tag: str, gauges: Gauges) -> None:
+    def _idle_beat(self) -> None:
+        """Connections, link and reports are looked after before the start as well."""
+        if self.controller is None:
+            self._beat()
+            self._at(self.now + IDLE_BEAT_MS, self._idle_beat)
+
+    def _sampled(self, tag: str, gauges: Gauges, late: bool = False) -> None:
+        if not late and tag in (self.missed, self.sampled):
+            # The agent reads its commands in their order: it has seen all that went before this one.
+            self.taken_in = int(tag[1:])
+            for entry in list(self.contested):
+                self._decide(entry)
         if tag == self.missed:
             self.missed = None
             self._settle_doubts()
--- a/myrtlecrank/core/ends.py
+++ b/myrtlecrank/core/ends.py
@@ -14,6 +14,7 @@
     UNREACHED = "could not be opened"
     SILENT = "no longer answers"
     STUCK = "no longer reads"
+    HALF = "brought no whole frame in time"
     BROKEN = "sent what cannot be read"
     LEFT = "closed by us"
 
@@ -24,6 +25,7 @@
     End.UNREACHED: Outcome.UNREACHED,
     End.SILENT: Outcome.TIMEOUT,
     End.STUCK: Outcome.TIMEOUT,
+    End.HALF: Outcome.TIMEOUT,
     End.BROKEN: Outcome.ERROR,
     End.LEFT: Outcome.CANCELLED,
 }
--- a/myrtlecrank/core/letters.py
+++ b/myrtlecrank/core/letters.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 from myrtlecrank.core.ends import End
 from myrtlecrank.port import Gauges, Outcome
@@ -33,6 +34,7 @@
     about: str
     body: bytes
     answer: Callable[[Answer], None]
+    place: Any = None  # where the answer goes: the front's own
 
 
 @dataclass(slots=True)
@@ -80,6 +82,14 @@
     outcome: Outcome
     took: float
     result: bytes
+    refused: bool = False  # the agent knows no such exchange
+
+
+@dataclass(slots=True)
+class Unsent:
+    """These were to be launched when there was no link any more: nothing of them left."""
+
+    idents: list[str]
 
 
 @dataclass(slots=True)
@@ -113,5 +123,5 @@
     tag: str
 
 
-Event = Arrived | CallersLeft | Greeted | Parted | RunEnded | Sampled | Leave
+Event = Arrived | CallersLeft | Greeted | Parted | Unsent | RunEnded | Sampled | Leave
 Command = Launch | Freeze | Sample
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from functools import partial
 
 from myrtlecrank.core.board import Board
 from myrtlecrank.core.letters import Answer, Arrived, Ticket, Verdict
@@ -20,20 +18,10 @@
 }
 
 
-@dataclass(slots=True)
-class Asked:
-    connection: Connection
-    ask: codec.Ask
-
-
-@dataclass(slots=True)
-class Answered:
-    connection: Connection
-    stream: int
-    answer: Answer
-
-
 class Caller:
+    """Its mailbox takes the final answers; what its connections read is handed in on their own greenlets,
+    which wait there if the module has no room."""
+
     def __init__(
         self,
         groups: dict[str, int],
@@ -45,22 +33,26 @@
         self.groups, self.tenants, self.tells_left = groups, tenants, tells_left
         self.board, self.hand_in = board, hand_in
         self.connections = 0
-        self.mailbox: Mailbox[Asked | Answered | None] = Mailbox(MAILBOX)
+        self.mailbox: Mailbox[Answer | None] = Mailbox(MAILBOX)
 
     def run(self) -> None:
         """Until None comes: then it has no connection any more."""
         while True:
-            for letter in self.mailbox.take():
-                if letter is None:
+            touched: dict[Connection, None] = {}
+            for answer in self.mailbox.take():
+                if answer is None:
                     return
-                if isinstance(letter, Asked):
-                    self.asked(letter.connection, letter.ask)
-                else:
-                    self.answered(letter.connection, letter.stream, letter.answer)
+                connection, stream = answer.ticket.place
+                connection.answered(stream, self.frame(stream, answer))
+                touched[connection] = None
+            for connection in touched:
+                connection.flush()
+
+    def frame(self, stream: int, answer: Answer) -> bytes:
+        code, value = CODES[answer.verdict], self.board.value
+        return codec.answer(stream, code, value, answer.wait, answer.last, answer.result)
 
     def asked(self, connection: Connection, ask: codec.Ask) -> None:
-        if connection.end is not None:
-            return
         group = self.groups.get(ask.group)
         tenant = self.tenants.get(ask.tenant or "") if self.tenants else 0
         if group is None or tenant is None:
@@ -81,15 +73,7 @@
             caller=ask.caller,
             about=ask.about or "",
             body=ask.body,
-            answer=partial(self._post, connection, ask.stream),
+            answer=self.mailbox.post,
+            place=(connection, ask.stream),
         )
         self.hand_in(Arrived(ticket))
-
-    def _post(self, connection: Connection, stream: int, answer: Answer) -> None:
-        self.mailbox.post(Answered(connection, stream, answer))
-
-    def answered(self, connection: Connection, stream: int, answer: Answer) -> None:
-        frame = codec.answer(
-            stream, CODES[answer.verdict], self.board.value, answer.wait, answer.last, answer.result
-        )
-        connection.answered(stream, frame)
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -15,8 +15,11 @@
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring import Ring
 
+FIRST_READ = 2048  # bytes asked for at a time, more where more comes
+SHARE = 16  # reads after which the others get their turn, however much is still there
 UNSENT = 4 * codec.RESULT  # what may wait for a slow reader before we stop reading it
 STUCK_MS = 5000.0  # a reader that takes nothing for so long is gone
+HALF_MS = 2000.0  # a frame, the first of a connection included, is whole by then
 GAPS = 1024  # streams beyond a gap in their numbers that are remembered one by one
 Take = Callable[["Connection", codec.Ask], None]
 
@@ -24,7 +27,8 @@
 class Connection:
     def __init__(self, sock: socket.socket, board: Board, take: Take) -> None:
         self.sock, self.board, self.take = sock, board, take
-        self.incoming, self.outgoing = Ring(), Ring()
+        self._send: Callable[..., int] = sock.send  # gevent's takes a time-out as well
+        self.incoming, self.outgoing = Ring(FIRST_READ), Ring()
         self.decoder = codec.Decoder(self.incoming)
         self.open: dict[int, Ticket | None] = {}
         self.caller: int | None = None
@@ -32,37 +36,45 @@
         self.last_used = 0.0
         self.away_at: float | None = None  # when it was told to bring nothing new
         self.end: End | None = None
-        self.flushing = False
-        self.taken, self.taken_seen, self.stuck_since = 0, 0, 0.0
+        self.reading = self.flushing = False
+        self.taken, self.taken_seen, self.stuck_for = 0, 0, 0.0
+        self.frames, self.frames_seen, self.half_for = 0, 0, 0.0
         self.drained = Flag()
 
     def run(self) -> End:
         """Reads until the connection ends."""
+        reads = 0
         try:
             while self.end is None:
+                self.reading = True
                 count = self.sock.recv_into(self.incoming.room())
+                self.reading = False
                 if count == 0:
                     return self._ended(End.CLOSED)
                 self.incoming.wrote(count)
                 for frame in self.decoder.frames():
                     self.frame(frame)
+                self.flush()
                 while len(self.outgoing) > UNSENT and self.end is None:
                     self.drained.clear()
                     self.drained.wait()
+                reads += 1
+                if reads % SHARE == 0:
+                    # Guards against a sender at full speed: a socket that always has something never waits,
+                    # and so would keep the loop from all others.
+                    gevent.sleep(0)
         except codec.Broken as error:
             logger.warning("a connection ends, as it brought {}", error)
             self.send(codec.error(self.board.value))
-            while self.outgoing and self.end is None:
-                self.drained.clear()
-                self.drained.wait()
             self._ended(End.BROKEN)
         except OSError as error:
             self._ended(of_error(error))
         return self.end or End.LEFT
 
     def frame(self, frame: codec.Ask | codec.Check | codec.Spoiled) -> None:
+        self.frames += 1
         if isinstance(frame, codec.Check):
-            self.send(codec.checked(frame.stream, self.board.well, self.board.value))
+            self.append(codec.checked(frame.stream, self.board.well, self.board.value))
             return
         if not self._new(frame.stream):
             raise codec.Broken(f"the stream {frame.stream} twice")
@@ -78,9 +90,12 @@
         """Answers what cannot be taken in; all else on the connection goes on."""
         logger.warning("an exchange is terminated: it brought {}", why)
         self.open.pop(stream, None)
-        self.send(codec.answer(stream, codec.TERMINATED, self.board.value))
+        self.append(codec.answer(stream, codec.TERMINATED, self.board.value))
 
     def _new(self, stream: int) -> bool:
+        if stream == self.used_up_to + 1 and not self.used_beyond:
+            self.used_up_to = stream
+            return True
         if stream <= self.used_up_to or stream in self.used_beyond:
             return False
         self.used_beyond.add(stream)
@@ -92,8 +107,9 @@
         return True
 
     def answered(self, stream: int, frame: bytes) -> None:
+        """To be followed by a flush()."""
         if self.end is None and self.open.pop(stream, None) is not None:
-            self.send(frame)
+            self.append(frame)
 
     def tell_away(self, now: float) -> None:
         if self.away_at is None and self.end is None:
@@ -101,30 +117,54 @@
             self.send(codec.away())
 
     def send(self, data: bytes) -> None:
-        if self.end is not None:
+        self.append(data)
+        self.flush()
+
+    def append(self, data: bytes) -> None:
+        if self.end is None:
+            self.outgoing.append(data)
+
+    def flush(self) -> None:
+        """Writes what the socket takes at once; only a slow reader costs a greenlet for the rest."""
+        if self.flushing or not self.outgoing or self.end is not None:
             return
-        self.outgoing.append(data)
-        if not self.flushing:
+        try:
+            self._write(0.0)
+        except BlockingIOError:
             self.flushing = True
-            gevent.spawn(self._flush)
+            gevent.spawn(self._flush_rest)
+        except OSError as error:
+            self.close(of_error(error))
 
-    def _flush(self) -> None:
+    def _write(self, timeout: float | None) -> None:
+        while self.outgoing and self.end is None:
+            count = self._send(self.outgoing.data(), 0, timeout)
+            self.outgoing.skip(count)
+            self.taken += count
+
+    def _flush_rest(self) -> None:
         try:
-            while self.outgoing and self.end is None:
-                count = self.sock.send(self.outgoing.data())
-                self.outgoing.skip(count)
-                self.taken += count
+            self._write(None)
         except OSError as error:
             self.close(of_error(error))
         self.flushing = False
         self.drained.set()
 
-    def look_stuck(self, now: float) -> None:
-        """Guards against readers that stall for good; cheaper than a time-out on every write."""
+    def look(self, passed: float) -> None:
+        """Guards against readers that stall for good, against a frame that never ends and a connection that
+        never says anything; cheaper than a time-out on every call. Only time in which we ran counts."""
         if not self.flushing or self.taken != self.taken_seen:
-            self.taken_seen, self.stuck_since = self.taken, now
-        elif now - self.stuck_since > STUCK_MS:
-            self.close(End.STUCK)
+            self.taken_seen, self.stuck_for = self.taken, 0.0
+        else:
+            self.stuck_for += passed
+            if self.stuck_for > STUCK_MS:
+                self.close(End.STUCK)
+        if self.frames != self.frames_seen or (self.frames and not self.decoder.halfway()):
+            self.frames_seen, self.half_for = self.frames, 0.0
+        elif self.reading:
+            self.half_for += passed
+            if self.half_for > HALF_MS:
+                self.close(End.HALF)
 
     def close(self, end: End) -> None:
         """Ends it from our side; its reader wakes and tells the others."""
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -12,13 +12,14 @@
 from myrtlecrank.core.actor import Core, unix_ms
 from myrtlecrank.core.ends import End
 from myrtlecrank.core.letters import CallersLeft, Ticket
-from myrtlecrank.edge.caller import Asked, Caller
+from myrtlecrank.edge.caller import Caller
 from myrtlecrank.edge.connection import Connection
 from myrtlecrank.frames import codec
 
 BACKLOG = 512
-SPARE_SOCKETS = 64  # left for the agent, the list, files of the interpreter
+SPARE_SOCKETS = 24  # left for the agent, the list, files of the interpreter: some ten are used
 FULL_S = 0.05  # pause of the listener while there is no descriptor
+PASSED_MS = 200.0  # the most that a look at the connections counts as gone by, were we to stand still
 AWAY_MS = 2000.0  # a caller that does not close a connection it was told to leave is gone itself
 
 
@@ -37,6 +38,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
+        self.swept = unix_ms()
         self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
         core.on_beat.append(self.sweep)
         core.on_shut.append(self.shut)
@@ -66,12 +68,15 @@
 
     def make_room(self) -> bool:
         """Guards against floods of connections that bring nothing: the one that was idle longest goes, so
-        that health checks and exchanges still find a place."""
-        idle = next((c for c in self.connections if not (c.open or c.flushing or c.incoming)), None)
-        if idle is not None:
-            idle.close(End.LEFT)
-            del self.connections[idle]
-        return idle is not None
+        that health checks and exchanges still find a place; where none is idle, one that never brought a
+        whole frame. A caller whose first frame is cut off by that knows that nothing of it ran."""
+        quiet = [c for c in self.connections if not (c.open or c.flushing)]
+        gone = next((c for c in quiet if not c.decoder.halfway()), None)
+        gone = gone or next((c for c in quiet if not c.frames), None)
+        if gone is not None:
+            gone.close(End.LEFT)
+            del self.connections[gone]
+        return gone is not None
 
     def accept(self, sock: socket.socket) -> Connection:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -104,7 +109,7 @@
                 )
                 self.spawn(caller.run)
             caller.connections += 1
-        self.callers[connection.caller].mailbox.put(Asked(connection, ask))
+        self.callers[connection.caller].asked(connection, ask)
 
     def ended(self, connection: Connection) -> None:
         """Tells the module who has left, and lets the actor of a caller go with its last connection."""
@@ -122,14 +127,13 @@
                 caller.mailbox.post(None)
 
     def sweep(self, now: float) -> None:
-        """Closes what is stuck, and asks callers to close what idles longer than the module allows."""
-        for connection in list(self.connections):
-            connection.look_stuck(now)
+        """Closes what is stuck or never whole, and asks callers to close what idles longer than the module
+        allows."""
+        passed, self.swept = min(PASSED_MS, max(0.0, now - self.swept)), now
         for connection in list(self.connections):
+            connection.look(passed)
             idle = now - connection.last_used
-            if self.board.idle <= 0 or idle <= self.board.idle:
-                break
-            if connection.open:
+            if self.board.idle <= 0 or idle <= self.board.idle or connection.open:
                 continue
             if connection.away_at is None:
                 connection.tell_away(now)
--- a/myrtlecrank/farm/lines.py
+++ b/myrtlecrank/farm/lines.py
@@ -64,51 +64,54 @@
 
 
 def notices(ring: Ring) -> Iterator[Notice]:
-    """Takes the whole notices off the ring."""
-    while True:
-        end = ring.find(b"\r\n")
-        if end < 0:
-            if len(ring) > LONGEST_LINE:
-                raise Broken("a line without an end")
-            return
-        line = ring.peek(end).decode("utf-8", "replace")
-        words = line.split(" ")
-        size = 0
-        if words[0] == "outcome" and len(words) == 6:
-            size = _count(words[5], LONGEST_RESULT)
-            if len(ring) < end + 2 + size + 2:
+    """Takes the whole notices off the ring; all that is there is copied once, however many they are."""
+    raw, at = ring.peek(len(ring)), 0
+    try:
+        while True:
+            end = raw.find(b"\r\n", at)
+            if end < 0:
+                if len(raw) - at > LONGEST_LINE:
+                    raise Broken("a line without an end")
                 return
-        ring.skip(end + 2)
-        result = b""
-        if words[0] == "outcome" and len(words) == 6:
-            result = ring.take(size)
-            if ring.take(2) != b"\r\n":
-                raise Broken("a result that does not end where it should")
-        yield _notice(words, result, line)
+            line, after = raw[at:end], end + 2
+            words = line.decode("utf-8", "replace").split(" ")
+            result = b""
+            if words[0] == "outcome" and len(words) == 6:
+                size = _count(words[5], LONGEST_RESULT)
+                after += size + 2
+                if len(raw) < after:
+                    return
+                if raw[after - 2 : after] != b"\r\n":
+                    raise Broken("a result that does not end where it should")
+                result = raw[end + 2 : after - 2]
+            at = after
+            yield _notice(words, result, line)
+    finally:
+        ring.skip(at)
 
 
 def _count(word: str, top: int) -> int:
-    if not word.isascii() or not word.isdigit() or int(word) > top:
+    if not word.isascii() or not word.isdigit() or len(word) > 9 or int(word) > top:
         raise Broken(f"a length that reads {word[:40]!r}")
     return int(word)
 
 
-def _notice(words: list[str], result: bytes, line: str) -> Notice:
+def _notice(words: list[str], result: bytes, line: bytes) -> Notice:
     try:
         match words:
-            case ["greeting", state, up]:
-                return Greeting(STATES[state], float(up))
             case ["outcome", number, ident, end, took, *_]:
                 return Ended(int(number), ident, ENDS[end], float(took), result)
             case ["sampled", tag, *values]:
                 return Gauged(tag, [float(value) for value in values])
+            case ["greeting", state, up]:
+                return Greeting(STATES[state], float(up))
             case ["refusal", command, ident, *_]:
                 return Refused(command, ident)
             case ["aside", number, *_]:
                 return Aside(int(number))
     except (KeyError, ValueError):
         pass
-    return Unknown(line)
+    return Unknown(line.decode("utf-8", "replace"))
 
 
 def subscribe(read: int) -> bytes:
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -5,12 +5,13 @@
 import time
 from collections.abc import Callable
 
+import gevent
 from gevent import socket
 from gevent.event import Event as Flag
 from loguru import logger
 
 from myrtlecrank.core.ends import End, of_error
-from myrtlecrank.core.letters import Command, Event, Greeted, Parted, RunEnded, Sampled
+from myrtlecrank.core.letters import Command, Event, Greeted, Launch, Parted, RunEnded, Sampled, Unsent
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.farm import lines
 from myrtlecrank.frames.ring import Ring
@@ -19,6 +20,7 @@
 FIRST_PAUSE, LONGEST_PAUSE = 0.02, 0.25  # seconds between tries to connect
 CONNECT_S, SILENT_MS = 2.0, 3000.0  # once greeted the agent is asked often, so it is never silent for long
 MAILBOX = 4096
+FIRST_READ = 4096  # bytes asked for at a time, more where more comes
 
 
 def monotonic_ms() -> float:
@@ -67,6 +69,9 @@
             wanted = self.mailbox.take()
             sock, ring = self.sock, self.outgoing
             if sock is None or not self.greeted:
+                unsent = [command.ident for command in wanted if isinstance(command, Launch)]
+                if unsent:
+                    self.tell(Unsent(unsent))
                 continue
             try:
                 ring.append(b"".join(map(lines.command, wanted)))
@@ -98,7 +103,7 @@
             sock.sendall(lines.subscribe(self.read))
             sock.settimeout(None)  # the machine may come up long after this
             self.heard = monotonic_ms()
-            return self._notices(sock, Ring())
+            return self._notices(sock, Ring(FIRST_READ))
         except OSError as error:
             return of_error(error)
         except lines.Broken as error:
@@ -110,15 +115,19 @@
 
     def _notices(self, sock: socket.socket, ring: Ring) -> End:
         while True:
-            count = sock.recv_into(ring.room())
+            room = ring.room()
+            count = sock.recv_into(room)
             if count == 0:
                 return End.CLOSED
+            full = count == len(room)
             ring.wrote(count)
             self.heard = monotonic_ms()
             for notice in lines.notices(ring):
                 if isinstance(notice, lines.Greeting) and not self.greeted:
                     self.greeted = self.known_up = True
                 self.notice(notice)
+            if full:
+                gevent.sleep(0)  # after a break thousands may come at once: the others get their turn
 
     def notice(self, notice: lines.Notice) -> None:
         match notice:
@@ -133,9 +142,10 @@
             case lines.Refused(command, ident):
                 logger.warning("the agent refused to {} {}", command, ident)
                 # A launch that was refused ran nothing; a run that it does not know has ended.
-                if command in ("launch", "freeze"):
-                    outcome = Outcome.MOOT if command == "launch" else Outcome.CANCELLED
-                    self.tell(RunEnded(ident, outcome, 0.0, b""))
+                if command == "launch":
+                    self.tell(RunEnded(ident, Outcome.MOOT, 0.0, b"", refused=True))
+                elif command == "freeze":
+                    self.tell(RunEnded(ident, Outcome.CANCELLED, 0.0, b""))
             case lines.Aside(number):
                 self._new(number)
             case lines.Unknown(line):
--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import math
+import re
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import lru_cache
 
 from myrtlecrank.frames.ring import Ring
 
@@ -13,6 +14,8 @@
 SHORTEST, LONGEST = 5, 262_144
 KEPT = 16_384  # longer frames are legal, but no exchange that can be run needs them
 BODY, RESULT = 2048, 4096
+IDENT = re.compile(rb"[0-9a-fA-F]{16}")
+WHOLE, PLAIN = re.compile(rb"[0-9]{1,15}"), re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 OPEN_STREAMS = 32  # exchanges that one connection may carry at a time
 ASK, ANSWER, CHECK, CHECKED, AWAY = 10, 11, 20, 21, 30
 COMPLETED, DENIED, TERMINATED = 0, 1, 2
@@ -64,7 +67,7 @@
 
     def __init__(self, ring: Ring) -> None:
         self.ring = ring
-        self.skip, self.skipped = 0, Spoiled(0, "")
+        self.skip = 0  # bytes of a frame too long to be kept that are still to come
 
     def frames(self) -> Iterator[Ask | Check | Spoiled]:
         """The frames that have come; raises Broken where the bytes are none."""
@@ -76,7 +79,6 @@
                 self.skip -= count
                 if self.skip:
                     return
-                yield self.skipped
             if len(ring) < HEAD.size:
                 if len(ring) >= 4:
                     _length(int.from_bytes(ring.peek(4), "little"))
@@ -88,13 +90,18 @@
                 # Guards against many connections that each bring the longest frame: the memory would not do.
                 if kind == CHECK:
                     raise Broken(f"a health check of {length} bytes")
-                self.skip, self.skipped = 4 + length, Spoiled(stream, f"a frame of {length} bytes")
+                self.skip = 4 + length
+                yield Spoiled(stream, f"a frame of {length} bytes")
                 continue
             if len(ring) < 4 + length:
                 return
             raw = ring.take(4 + length)
             yield _check(stream, raw) if kind == CHECK else _ask(stream, raw)
 
+    def halfway(self) -> bool:
+        """Whether a frame has begun and not ended."""
+        return self.skip > 0 or len(self.ring) > 0
+
 
 def _length(length: int) -> None:
     if not SHORTEST <= length <= LONGEST:
@@ -108,29 +115,29 @@
         raise Broken("an exchange on stream 0")
 
 
-def _fields(raw: bytes) -> tuple[dict[str, str], int]:
+def _fields(raw: bytes) -> tuple[dict[bytes, bytes], int]:
     """The fields of a frame and where they end."""
-    values: dict[str, str] = {}
-    at = HEAD.size
+    values: dict[bytes, bytes] = {}
+    at = HEAD.size + 1
     try:
-        count = raw[at]
-        at += 1
+        count = raw[at - 1]
         for _ in range(count):
-            size = raw[at]
-            name = raw[at + 1 : at + 1 + size].decode()
-            at += 1 + size
-            size = raw[at] | raw[at + 1] << 8
-            value = raw[at + 2 : at + 2 + size].decode()
-            at += 2 + size
-            if at > len(raw):
-                raise _Unfit("fields longer than the frame")
-            if name in values:
-                raise _Unfit(f"the field {name!r} twice")
-            values[name] = value
+            split = at + 1 + raw[at]
+            end = split + 2 + (raw[split] | raw[split + 1] << 8)
+            values[raw[at + 1 : split]] = raw[split + 2 : end]
+            at = end
     except IndexError:
-        raise _Unfit("fields longer than the frame") from None
-    except UnicodeDecodeError:
-        raise _Unfit("a field that is no text") from None
+        at = len(raw) + 1
+    if at > len(raw):
+        raise _Unfit("fields longer than the frame")
+    if len(values) != count:
+        raise _Unfit("a field twice")
+    if not raw[HEAD.size : at].isascii():
+        try:
+            for text in (*values.keys(), *values.values()):
+                text.decode()
+        except UnicodeDecodeError:
+            raise _Unfit("a field that is no text") from None
     return values, at
 
 
@@ -142,42 +149,49 @@
     return Check(stream)
 
 
-def _number(values: dict[str, str], name: str, top: float, default: float | None = None) -> float:
+Values = dict[bytes, bytes]
+
+
+def _number(
+    values: Values, name: bytes, shape: re.Pattern[bytes], top: float, default: float | None = None
+) -> float:
+    """A field in its plain spelling, under `top`: no sign, no exponent, no blank, no `nan`."""
     text = values.get(name)
     if text is None:
         if default is None:
-            raise _Unfit(f"no field {name!r}")
+            raise _Unfit(f"no field {name.decode()!r}")
         return default
-    try:
-        number = float(text)
-    except ValueError:
-        number = math.nan
-    if not 0.0 <= number < top:
-        raise _Unfit(f"the field {name!r} that reads {text[:40]!r}")
+    number = float(text) if shape.fullmatch(text) else top
+    if number >= top:
+        raise _Unfit(f"the field {name.decode()!r} that reads {text[:40]!r}")
     return number
 
 
 def _ask(stream: int, raw: bytes) -> Ask | Spoiled:
     try:
         values, at = _fields(raw)
-        ident = values.get("i", "")
-        if len(ident) != 16 or not set(ident) <= set("0123456789abcdefABCDEF"):
+        ident = values.get(b"i", b"")
+        if not IDENT.fullmatch(ident):
             raise _Unfit(f"the field 'i' that reads {ident[:40]!r}")
-        if "c" not in values:
+        if b"c" not in values:
             raise _Unfit("no field 'c'")
         if len(raw) - at > BODY:
             raise _Unfit(f"a body of {len(raw) - at} bytes")
+        kb = _number(values, b"m", PLAIN, 2000.0)
+        if kb == 0.0:
+            raise _Unfit("no memory that is booked for it")
+        tenant, about = values.get(b"t"), values.get(b"o")
         return Ask(
             stream,
-            group=values["c"],
-            ident=ident,
-            reached=_number(values, "s", 1e15),
-            caller=int(_number(values, "f", 2.0**32)),
-            tenant=values.get("t"),
-            wait=_number(values, "d", 1e12) if "d" in values else None,
-            kb=_number(values, "m", 2000.0),
-            rank=_number(values, "p", 1.0, 0.0),
-            about=values.get("o"),
+            group=values[b"c"].decode(),
+            ident=ident.decode(),
+            reached=_number(values, b"s", WHOLE, 1e15),
+            caller=int(_number(values, b"f", WHOLE, 2.0**32)),
+            tenant=None if tenant is None else tenant.decode(),
+            wait=_number(values, b"d", PLAIN, 1e9) if b"d" in values else None,
+            kb=kb,
+            rank=_number(values, b"p", PLAIN, 1.0, 0.0),
+            about=None if about is None else about.decode(),
             body=raw[at:],
         )
     except _Unfit as error:
@@ -204,13 +218,21 @@
     return {} if value is None else {"v": _figure(value)}
 
 
+@lru_cache(16)
+def _head(code: int, said: float | None) -> bytes:
+    """How most answers begin: the value changes only now and then."""
+    return bytes([code]) + _packed(_said(said))
+
+
 def answer(
     stream: int, code: int, said: float | None, wait: float = 0.0, last: bool = False, body: bytes = b""
 ) -> bytes:
+    if code != DENIED:
+        return framed(ANSWER, stream, _head(code, said) + body)
     fields = _said(said)
-    if code == DENIED and wait > 0:
+    if wait > 0:
         fields["w"] = str(max(1, round(wait)))
-    if code == DENIED and last:
+    if last:
         fields["l"] = "1"
     return framed(ANSWER, stream, bytes([code]) + _packed(fields) + body)
 
--- a/myrtlecrank/frames/ring.py
+++ b/myrtlecrank/frames/ring.py
@@ -52,8 +52,10 @@
             return b""
         size = len(self._store)
         begin = (self._head + at) % size
-        first = min(count, size - begin)
-        return bytes(self._store[begin : begin + first]) + bytes(self._store[: count - first])
+        with memoryview(self._store) as store:
+            if begin + count <= size:
+                return bytes(store[begin : begin + count])
+            return b"".join((store[begin:], store[: begin + count - size]))
 
     def skip(self, count: int) -> None:
         self._head = (self._head + count) % len(self._store)
@@ -68,11 +70,6 @@
         self.skip(len(out))
         return out
 
-    def find(self, mark: bytes, start: int = 0) -> int:
-        """Where `mark` begins at or after `start`, -1 if it does not."""
-        at = self.peek(self._used - start, start).find(mark)
-        return at if at < 0 else at + start
-
     def _grow(self, need: int) -> None:
         held = self.peek(self._used)
         size = len(self._store)
