Credit by the most in hand while nothing is held, so that short runs draw no shut door

Cause: _publish bounds the credit by 2 above what is in hand at that instant; with runs of 7 ms that is often nothing, and each caller was held to 2 for the next 300 ms.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -140,7 +140,7 @@
         self.parked: deque[Course] = deque()  # waiting for room at the dependency
         self.running: dict[Course, None] = {}
         self.joined: dict[Course, None] = {}
-        self.held = 0
+        self.held = self.peak = 0  # the most in hand since the value was last published
         self.used_kb = 0.0
         self.dues: list[tuple[float, int, Any]] = []
         self.order = count().__next__
@@ -498,6 +498,7 @@
                     self._resume(c, Word.STOP)
         self._start_calls()
         self._start_held()
+        self.peak = max(self.peak, self.held + len(self.running))
 
     def leave(self, left: float, now: float) -> float:
         """Until when arrivals may still run. What callers hear falls to nothing then, not now: they learn of
@@ -609,13 +610,11 @@
         strain = (self._wait() + self.unread) / (STRAIN * self.shortest_slo)
         if self.meaning is Meaning.NONE:
             return
-        if strain > 1.0:
-            self.open_to *= 1.0 - 0.15 * min(3.0, strain - 1.0)
-        else:
-            self.open_to *= 1.0 + 0.12 * (1.0 - strain)
+        self.open_to *= 1.0 - 0.15 * min(3.0, strain - 1.0) if strain > 1.0 else 1.0 + 0.12 * (1.0 - strain)
         if self.meaning is Meaning.CREDIT:
-            # Beyond what is in hand a credit binds nobody, and would take seconds to come down to that.
-            self.open_to = min(self.open_to, 2.0 + self.held + len(self.running))
+            # Beyond what was in hand a credit binds nobody, and would take seconds to come down to that.
+            in_hand = self.held + len(self.running) if self.held else self.peak
+            self.open_to, self.peak = min(self.open_to, 2.0 + in_hand), 0
         # Reading costs a cold backend several times as much: it asks for its part of the traffic only.
         self.open_to = max(self.open_at_least, min(self.open_at_most * self._warmth(), self.open_to))
         value = 0.0 if self.now > self.until else self.open_to
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -158,6 +158,23 @@
     assert until < 1000.0 and of(ops, Publish)[-1].value == 0.0
 
 
+def test_a_credit_follows_the_most_in_hand_and_not_an_idle_instant() -> None:
+    controller, _ = backend(meaning=Meaning.CREDIT)
+    controller.open_to = 8.0
+    for start in (10.0, 310.0):
+        exes = fill(controller, 4, start)
+        for ex in exes:
+            controller.finished(ex, Outcome.OK, 5.0, start + 5.0)
+        for beat in range(1, 4):
+            controller.settle(start + 5.0)
+            controller.alarm("beat", Gauges(0.1), start - 10.0 + 100.0 * beat)
+        assert controller.said >= 6.0
+    for beat in range(7, 13):
+        controller.settle(100.0 * beat)
+        controller.alarm("beat", Gauges(0.1), 100.0 * beat)
+    assert controller.said == 2.0
+
+
 def test_all_is_answered_before_the_stop() -> None:
     controller, ops = backend(group(Kind.DEDUPLICATED))
     exes = fill(controller, 6, 0.0)
