A launch that was lost with its link ends at the next sample after its stop and holds no room for good

Now: a launch that a later sample has come back for was taken in and is in no doubt; the others are, and end once a sample sent after their stop has come back, or at once if they never left. Stops are sent again after every break.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -58,7 +58,7 @@
     """One exchange in the table, from its arrival until nothing can ask for it any more."""
 
     __slots__ = ("answered", "doubt", "earlier", "ended_at", "ex", "genuine", "joiners", "launch", "outcome",
-                 "result", "rivals", "running", "stopping", "ticket")
+                 "result", "rivals", "running", "stop", "stopping", "ticket")
 
     def __init__(self, ticket: Ticket, ex: port.Exchange, earlier: Entry | None) -> None:
         self.ticket, self.ex, self.earlier = ticket, ex, earlier
@@ -68,7 +68,7 @@
         self.ended_at = 0.0
         self.result = b""
         self.joiners: list[Entry] = []
-        self.launch = 0  # which of the commands its launch was
+        self.launch = self.stop = 0  # which of the commands they were, as far as these may have come through
         self.genuine = False  # the agent ran it, so no other under its name can be the one it knows
         self.rivals: list[Ticket] = []  # others that came under its name
 
@@ -102,6 +102,7 @@
         self.sampled: str | None = None  # the tag of the sample that a beat waits for
         self.taken_in = 0  # the last command that is known to have come through to the agent
         self.contested: dict[Entry, None] = {}  # those with rivals
+        self.doubted: dict[Entry, None] = {}  # those whose launch never left or may be lost
         self.alarm = ("", 0.0)
         self.alarm_due = 0.0
         self.stop_at: float | None = None
@@ -142,7 +143,7 @@
             case Arrived(ticket):
                 self._arrived(ticket)
             case RunEnded(ident, outcome, took, result, refused):
-                self._run_ended(ident, outcome, took, result, refused)
+                self._run_ended(ident, outcome, took, result, not refused)
             case Sampled(tag, gauges):
                 self._sampled(tag, gauges)
             case CallersLeft(tickets):
@@ -151,12 +152,8 @@
             case Greeted(cold, up):
                 self._greeted(cold, up)
             case Parted(end):
-                self.linked, self.missed = False, None
                 # Even where no way to the agent is left, what was written to a link that stood may have run.
-                lost = Outcome.RESET if end is End.UNREACHED else OUTCOMES[end]
-                for entry in self.table.values():
-                    if entry.running and entry.doubt is None:
-                        entry.doubt = lost
+                self._parted(Outcome.RESET if end is End.UNREACHED else OUTCOMES[end])
             case Unsent(idents):
                 for ident in idents:
                     standing = self.table.get(ident)
@@ -179,16 +176,30 @@
         if self.stop_at is not None:
             self.controller.leave(self.stop_at - self.now, self.now)
 
-    def _settle_doubts(self) -> None:
+    def _parted(self, lost: Outcome) -> None:
+        """What went out after the last sample that came back may be lost with the link."""
+        self.linked, self.missed = False, None
         for entry in self.table.values():
-            if not entry.running or entry.doubt is None:
-                continue
+            entry.stop = 0
+            if entry.running and entry.launch > self.taken_in:
+                entry.doubt, entry.launch = lost, 0
+                self.doubted[entry] = None
+
+    def _settle_doubts(self) -> None:
+        for entry in list(self.table.values()):
             unrun = entry.doubt is Outcome.UNREACHED
-            if entry.stopping:
-                self.command(Freeze(entry.ticket.ident))
-            elif unrun or self.facts.groups[entry.ticket.group].kind is Kind.REPEATABLE:
+            repeatable = self.facts.groups[entry.ticket.group].kind is Kind.REPEATABLE
+            if entry.running and entry.stopping:
+                self._lost(entry) if unrun else self._freeze(entry)
+            elif entry.running and entry.doubt is not None and (unrun or repeatable):
                 self._launch(entry)
-            entry.doubt = None
+
+    def _lost(self, entry: Entry) -> None:
+        """Guards against runs that nothing would end: of one whose launch was lost, no notice comes, not even
+        when it is stopped; it would count as running, and hold its room, for good."""
+        assert entry.doubt is not None
+        self._answer(entry, Verdict.TERMINATED)
+        self._run_ended(entry.ticket.ident, entry.doubt, 0.0, b"", genuine=False)
 
     def _leave(self) -> None:
         if self.stop_at is not None:
@@ -260,7 +271,7 @@
 
     def _decide(self, standing: Entry) -> None:
         """Once the agent has run what stands under a name, the others under it are done."""
-        if standing.running and 0 < standing.launch <= self.taken_in and standing.doubt is None:
+        if standing.running and 0 < standing.launch <= self.taken_in:
             standing.genuine = True
         if standing.genuine:
             self._beat_all(standing)
@@ -282,12 +293,13 @@
             logger.warning("an exchange is terminated: it came under a name in use")
             ticket.answer(Answer(ticket, Verdict.TERMINATED))
 
-    def _run_ended(self, ident: str, outcome: Outcome, took: float, result: bytes, refused: bool) -> None:
+    def _run_ended(self, ident: str, outcome: Outcome, took: float, result: bytes, genuine: bool) -> None:
         entry = self.table.get(ident)
         if entry is None or not entry.running:
             return
         entry.running = False
-        entry.genuine = not refused
+        entry.genuine = genuine
+        self.doubted.pop(entry, None)
         self._ended(entry, outcome, took, result)
 
     def _ended(self, entry: Entry, outcome: Outcome, took: float, result: bytes) -> None:
@@ -346,7 +358,7 @@
                 entry = self.entries[ex]
                 entry.stopping = True
                 if self.linked:
-                    self.command(Freeze(entry.ticket.ident))
+                    self._freeze(entry)
             case port.Deny(ex, last, wait):
                 self._answer(self.entries[ex], Verdict.DENIED, wait=wait, last=last)
                 self._tidy(self.entries[ex])
@@ -382,9 +394,15 @@
         if self.linked:
             group = self.facts.groups[entry.ticket.group].name
             entry.launch, entry.doubt = self.order(), None
+            self.doubted.pop(entry, None)
             self.command(Launch(entry.ticket.ident, group, entry.ticket.body))
         else:
             entry.doubt = Outcome.UNREACHED
+            self.doubted[entry] = None
+
+    def _freeze(self, entry: Entry) -> None:
+        entry.stop = self.order()
+        self.command(Freeze(entry.ticket.ident))
 
     # Timers, gauges
 
@@ -421,6 +439,9 @@
             self.taken_in = int(tag[1:])
             for entry in list(self.contested):
                 self._decide(entry)
+            for entry in list(self.doubted):
+                if 0 < entry.stop <= self.taken_in:
+                    self._lost(entry)
         if tag == self.missed:
             self.missed = None
             self._settle_doubts()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -134,6 +134,38 @@
     assert len(play.answers) == 1 and play.commands(Freeze) == [Freeze("aa")]
 
 
+@pytest.mark.parametrize("kind", list(Kind))
+@pytest.mark.parametrize("linked", [True, False])
+def test_a_launch_lost_with_its_link_holds_no_room_for_good(kind: Kind, linked: bool) -> None:
+    """The agent says nothing of a stop of a run that it never began."""
+    play = Play(group(kind=kind))
+    if not linked:
+        play.turn(0.0, Parted(End.RESET))
+    play.ask("aa", 1.0, wait=500.0)
+    if linked:
+        play.turn(2.0, Parted(End.RESET))
+        play.turn(450.0)
+        assert len(play.answers) == 1
+    play.turn(500.0, Greeted(False, 500.0))
+    for now in (501.0, 601.0, 701.0):
+        play.turn(now)
+        play.turn(now + 1.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    assert len(play.answers) == 1 and not play.core.table and not play.core.doubted
+    assert play.core.controller and not play.core.controller.running
+
+
+def test_what_the_agent_has_taken_in_is_in_no_doubt() -> None:
+    play = Play()
+    play.ask("aa", 0.0)
+    play.turn(100.0)
+    play.turn(101.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    play.ask("bb", 102.0)
+    play.turn(110.0, Parted(End.RESET))
+    play.turn(120.0, Greeted(False, 120.0))
+    play.turn(121.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    assert [c.ident for c in play.commands(Launch)] == ["aa", "bb", "bb"]
+
+
 def test_nothing_runs_before_the_start() -> None:
     play = Play(greeted=False)
     play.ask("aa", 0.0)
