--- a/myrtlecrank/benchlink/wire.py
+++ b/myrtlecrank/benchlink/wire.py
@@ -62,10 +62,11 @@
 
 
 def gauges(event: Fields) -> port.Gauges:
-    values = event.inner("report", {}).values
-    return port.Gauges(
-        **{GAUGES[k]: float(v) for k, v in values.items() if k in GAUGES and isinstance(v, int | float)}
-    )
+    told = port.Gauges()
+    for name, value in event.inner("report", {}).values.items():
+        if name in GAUGES and isinstance(value, int | float):
+            setattr(told, GAUGES[name], float(value))
+    return told
 
 
 def us(ms: float) -> int:
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -39,6 +39,7 @@
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.logic import Controller
 from myrtlecrank.port import Gauges, Kind, Outcome
+from myrtlecrank.repeats.decide import Repeats, Tide
 
 MAILBOX = 2048
 TURN = 128  # letters taken in one turn: a long batch would keep the loop from the sockets
@@ -81,6 +82,7 @@
         command: Callable[[Command], None],
         tell_health: Callable[[bool], None],
         now: float | None = None,
+        repeats: Repeats | None = None,
     ) -> None:
         self.mailbox: Mailbox[Event] = Mailbox(MAILBOX)
         self.board = Board(idle=facts.idle)
@@ -90,6 +92,8 @@
         self.on_shut: list[Callable[[], None]] = []
         self.now = unix_ms() if now is None else now
         self.controller: Controller | None = None
+        self.repeats = repeats
+        self.on_tide: list[Callable[[Tide, float], None]] = []
         self.linked = False
         self.missed: str | None = None  # the tag of the sample that follows the missed notices
         self.table: dict[str, Entry] = {}
@@ -244,6 +248,10 @@
             keyed=bool(ticket.about),
             earlier=earlier.ex if earlier else None,
         )
+        if self.repeats is not None:
+            view = self.repeats.arrived(ticket.group, ticket.tenant, ticket.rank, ticket.body, ticket.caller,
+                                        ticket.wait, ticket.reached, self.now)
+            ex.likely, ex.age, ex.deaf = view.likely, view.age, view.deaf
         entry = self.table[ticket.ident] = self.entries[ex] = Entry(ticket, ex, earlier)
         self.unanswered += 1
         self.controller.arrived(ex, self.now)
@@ -256,6 +264,8 @@
         if entry is None or entry.ticket is not ticket or entry.answered or self.controller is None:
             return
         self._answered(entry)
+        if self.repeats is not None:
+            self.repeats.left(ticket.caller, self.now)
         self.controller.caller_left(entry.ex, self.now)
         self._tidy(entry)
 
@@ -323,6 +333,11 @@
                 last: bool = False) -> None:
         if not entry.answered:
             self._answered(entry)
+            if self.repeats is not None:
+                t = entry.ticket
+                given_up = verdict is not Verdict.COMPLETED
+                self.repeats.answered(t.group, t.tenant, t.rank, t.body, t.caller, given_up, wait,
+                                      self.board.value, self.now)
             entry.ticket.answer(Answer(entry.ticket, verdict, result, wait, last))
 
     def _answered(self, entry: Entry) -> None:
@@ -447,6 +462,11 @@
             self._settle_doubts()
         elif tag == self.sampled and self.controller is not None:
             self.sampled = None
+            if self.repeats is not None:
+                tide = self.repeats.tide(self.now)
+                gauges.storm = tide.storm
+                for hook in self.on_tide:
+                    hook(tide, self.now)
             self.controller.alarm(self.alarm[0], gauges, self.now)
 
     # Kept results: repeats of what a read is about
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -135,8 +135,11 @@
                 if self._new(number):
                     self.tell(RunEnded(ident, outcome, took, result))
             case lines.Gauged(tag, values):
-                named = {n: v for n, v in zip(self.gauges, values, strict=False) if n}
-                self.tell(Sampled(tag, Gauges(**named)))
+                told = Gauges()
+                for name, value in zip(self.gauges, values, strict=False):
+                    if name:
+                        setattr(told, name, value)
+                self.tell(Sampled(tag, told))
             case lines.Refused(command, ident):
                 logger.warning("the agent refused to {} {}", command, ident)
                 # A launch that was refused ran nothing; a run that it does not know has ended.
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,6 +27,9 @@
 RATE_MS, RATE_EVENTS = 3000.0, 6.0  # over which a tenant's rate is measured: longer where few may come
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.5, 3.0, 1.6  # longest wait in the hold, per SLO time, times cores
 HOLD_MOST = 0.8  # per SLO time, on any number of cores
+# In a storm: ms from a denial to the next try; least work a run counts as; value of what is too late; least
+# credit
+AGAIN_MS, LEAST_WORK, LATE_VALUE, STORM_CREDIT = 20.0, 0.3, 0.05, 0.5
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
 WAIT_HEEDED = 0.3  # longest advised wait, of the time that callers remember the published value
@@ -98,6 +101,7 @@
         left = group.timeout - ex.waited if ex.left is None else ex.left
         self.due = now + max(0.0, left)
         self.reached = now - ex.waited
+        self.first = self.reached - ex.age  # the SLO time counts from here
         self.kb = ex.kb
         self.wake = 0.0  # its entry in the due times that counts
         self.began = self.cpu = self.below_ms = 0.0
@@ -148,6 +152,7 @@
         self.done, self.done_before, self.busy_beats = 0.0, 0.0, 0
         self.cpu_samples: deque[float] = deque(maxlen=CPU_SPAN)
         self.on_cores = self.memory_gauge = self.unread = self.owed = 0.0
+        self.storm = False
         self.pressed_samples = self.beats = self.ended = self.ends = 0
         self.clogged, self.useless, self.starts, self.sick_ms = False, False, 0, SICK_MS
         self.slowness, self.sick_until, self.last_end, self.reading, self.waits = 1.0, 0.0, now, NEVER, NEVER
@@ -319,10 +324,24 @@
 
     def _last_use(self, c: Course) -> float:
         """The latest start that can still earn something."""
-        slo = c.reached + c.group.slo + c.group.stretch * self._expected(c)
-        use = c.due - self.margin if c.group.late_benefit > 0 else min(slo, c.due - self.margin)
+        slo = (c.first if self.storm else c.reached) + c.group.slo + c.group.stretch * self._expected(c)
+        late = c.group.late_benefit > 0 or (self.storm and c.ex.deaf)
+        use = c.due - self.margin if late else min(slo, c.due - self.margin)
         return use - 0.7 * self._expected(c)
 
+    def _worth(self, c: Course) -> float:
+        """Its value if it were started now. In a storm what is too late for its SLO time goes last, and the
+        work of one whose caller heeds nothing counts less the readings that its denial would bring: it sheds
+        nothing."""
+        value = c.value
+        if self.storm and c.ex.deaf:
+            reading = min(self.reading, c.group.usual)
+            tries = (c.due - self.now) / (AGAIN_MS + reading + self.unread)
+            value /= max(LEAST_WORK, 1.0 - tries * reading / c.group.usual)
+        if self.storm and self.now > c.first + c.group.slo - self._expected(c):
+            value *= max(LATE_VALUE, c.group.late_benefit)
+        return value
+
     def _refused(self, c: Course) -> bool:
         late = self.now > min(self._last_use(c), self.stop_at - 2.0 * self.margin)
         if late or c.reached > self.until:
@@ -337,10 +356,12 @@
         # One size for all groups, or the hasty starve
         if self._wait() <= min(HOLD_MOST, share) * self.shortest_slo:
             return False
+        if self.storm and c.ex.deaf and self.now + self._wait() <= self._last_use(c):
+            return False  # its turn will come in time
         # The hold is full: of the arrival and all held, the one of least value is turned away.
         lines = [g.line for g in self.groups if g.line]
-        least = min((min(line, key=lambda h: h.value) for line in lines), key=lambda h: h.value)
-        if least.value >= 0.8 * c.value:
+        least = min((min(line, key=self._worth) for line in lines), key=self._worth)
+        if self._worth(least) >= 0.8 * self._worth(c):
             return True
         self._resume(least, Word.SHED)
         return False
@@ -383,7 +404,7 @@
             for g in lines:
                 g.credit += g.line[0].value / total
             turn = max(lines, key=lambda g: g.credit)
-            c = max(turn.line, key=lambda h: h.value)
+            c = max(turn.line, key=self._worth)
             more = c.ex.kb * (self.run_weight - 1.0)
             short = self.used_kb + more > MEMORY_USED * self.memory_kb
             if short and self.running:
@@ -516,7 +537,7 @@
         self.cpu_samples.append(min(1.0, busy))
         crowd = len(self.running) if gauges.on_cores is None else gauges.on_cores
         self.on_cores += 0.1 * (crowd - self.on_cores)
-        self.memory_gauge = gauges.memory or 0.0
+        self.memory_gauge, self.storm = gauges.memory or 0.0, gauges.storm
         self.unread *= 0.98
         self.rates = [r * (1.0 - BEAT / span) for r, span in zip(self.rates, self.spans, strict=True)]
         for c in self.running:
@@ -617,7 +638,8 @@
             in_hand = self.held + len(self.running) if self.held else self.peak
             self.open_to, self.peak = min(self.open_to, 2.0 + in_hand), 0
         # Reading costs a cold backend several times as much: it asks for its part of the traffic only.
-        self.open_to = max(self.open_at_least, min(self.open_at_most * self._warmth(), self.open_to))
+        least = self.open_at_least * (STORM_CREDIT if self.storm and self.meaning is Meaning.CREDIT else 1.0)
+        self.open_to = max(least, min(self.open_at_most * self._warmth(), self.open_to))
         value = 0.0 if self.now > self.until else self.open_to
         if self.meaning is Meaning.LEVEL:
             value = 1.0 - value
--- a/myrtlecrank/port.py
+++ b/myrtlecrank/port.py
@@ -129,6 +129,9 @@
     retry: bool = False
     keyed: bool = False  # names what it is about, so that reads of the same may share an answer
     work_hint: float = 0.0
+    likely: float = 0.0  # how likely it repeats one that was given up; 0 where nothing is known
+    age: float = 0.0  # how long before this try its first one came, where it is likely a repeat
+    deaf: bool = False  # its caller was seen to heed neither published value nor advice
     earlier: Exchange | None = None
     course: Any = None
 
@@ -141,6 +144,7 @@
     on_cores: float | None = None
     memory: float | None = None
     connections: float | None = None
+    storm: bool = False  # much of what arrives is likely repeats
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/test_logic_storm.py
@@ -0,0 +1,111 @@
+"""What the module does while a storm of repeats is on, and that it does none of it otherwise."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import answers, arrival, arrive, backend, group, of
+
+from myrtlecrank.logic import Controller
+from myrtlecrank.port import Deny, Exchange, Gauges, Meaning, Publish, Start
+
+CALM, STORM = Gauges(1.0, 6.0, 0.1, 1.0), Gauges(1.0, 6.0, 0.1, 1.0, storm=True)
+
+
+def stormy(storm: bool = True, **facts: object) -> tuple[Controller, list[object]]:
+    controller, ops = backend(**facts)  # type: ignore[arg-type]
+    controller.alarm("beat", STORM if storm else CALM, 0.0)
+    controller.reading, controller.unread = 50.0, 0.0
+    return controller, ops
+
+
+def fill(controller: Controller, n: int, **facts: object) -> list[Exchange]:
+    return [arrive(controller, 0.0, waited=50.0, **facts) for _ in range(n)]  # type: ignore[arg-type]
+
+
+def started(controller: Controller, ops: list[object]) -> Exchange:
+    """What the next free place goes to."""
+    ops.clear()
+    controller.limit = len(controller.running) + 1.0
+    controller.settle(1.0)
+    return of(ops, Start)[0].ex
+
+
+def test_one_whose_denial_sheds_nothing_is_held_as_long_as_its_turn_comes_in_time() -> None:
+    controller, _ = stormy(cores=1)
+    fill(controller, 40)
+    held = controller.held
+    deaf = fill(controller, 1, deaf=True)[0]
+    assert controller.held == held + 1
+    assert deaf.course.place.name == "HELD"
+
+
+def test_one_whose_turn_would_come_too_late_is_denied_at_once() -> None:
+    controller, ops = stormy(cores=1)
+    fill(controller, 40, deaf=True)
+    late = arrival(left=300.0, waited=50.0, deaf=True)
+    controller.arrived(late, 0.0)
+    assert [type(op) for op in answers(ops, late)] == [Deny]
+
+
+def test_the_dearer_its_denial_the_sooner_it_runs() -> None:
+    controller, ops = stormy(cores=1)
+    fill(controller, 3)
+    deaf = fill(controller, 1, deaf=True)[0]
+    assert started(controller, ops) is deaf
+
+
+def test_near_its_due_time_a_denial_is_cheap_and_the_order_is_the_usual_one() -> None:
+    controller, _ = stormy(cores=1)
+    plain, deaf = fill(controller, 2)[1], arrive(controller, 0.0, waited=50.0, left=1000.0, deaf=True)
+    controller.now = 990.0
+    assert deaf.course.value == plain.course.value
+    assert controller._worth(deaf.course) < 1.25 * deaf.course.value
+
+
+def test_a_repeat_too_old_for_its_slo_time_goes_last() -> None:
+    controller, ops = stormy(cores=1)
+    fill(controller, 1)
+    old = arrive(controller, 0.0, waited=50.0, likely=0.9, age=1500.0)
+    fresh = fill(controller, 1)[0]
+    assert started(controller, ops) is fresh
+    assert old.course.place.name == "HELD"
+
+
+def test_a_repeat_that_can_earn_nothing_is_denied_on_arrival() -> None:
+    controller, ops = backend(group(late_benefit=0.0), cores=1)
+    controller.alarm("beat", STORM, 0.0)
+    old = arrive(controller, 0.0, left=2000.0, likely=0.9, age=1500.0)
+    assert [type(op) for op in answers(ops, old)] == [Deny]
+
+
+@pytest.mark.parametrize("storm", [True, False])
+def test_callers_hear_a_credit_below_one_only_in_a_storm(storm: bool) -> None:
+    controller, ops = stormy(storm, meaning=Meaning.CREDIT)
+    controller.unread = 5000.0
+    for at in range(1, 60):
+        controller.unread = 5000.0
+        controller.alarm("beat", STORM if storm else CALM, at * 100.0)
+    least = min(op.value for op in of(ops, Publish))
+    assert least == (0.5 if storm else 1.0)
+
+
+def test_out_of_a_storm_all_is_as_without_the_estimate() -> None:
+    plain, told = stormy(False, cores=2), stormy(False, cores=2)
+    for i in range(60):
+        facts = {"waited": 50.0, "kb": 10.0 + i}
+        arrive(plain[0], i * 5.0, **facts)  # type: ignore[arg-type]
+        arrive(told[0], i * 5.0, likely=0.9, age=700.0, deaf=True, **facts)  # type: ignore[arg-type]
+
+    def story(ops: list[object]) -> list[tuple[str, float]]:
+        return [(type(op).__name__, op.ex.kb) for op in ops if hasattr(op, "ex")]
+
+    assert story(plain[1]) == story(told[1])
+
+
+def test_a_storm_that_ends_or_is_turned_off_in_its_middle_leaves_nothing_without_an_answer() -> None:
+    controller, ops = stormy(cores=1)
+    many = fill(controller, 60, deaf=True)
+    controller.alarm("beat", CALM, 100.0)
+    for at in range(2, 50):
+        controller.settle(at * 100.0)
+    assert all(len(answers(ops, ex)) == 1 for ex in many)
