The operators' file: one TOML, read whole or not at all, with the section [repeats]

Need: whatever stands beside the module is set by the operators, and no mistake in a file may reach traffic.

--- a/myrtlecrank/cli.py
+++ b/myrtlecrank/cli.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import fields
 
 import click
 
-from myrtlecrank import __version__, orders
+from myrtlecrank import __version__, orders, subsystems
+from myrtlecrank.operators.file import OperatorsError
+from myrtlecrank.operators.sections import explain
+from myrtlecrank.subsystems import Operators
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -22,21 +26,37 @@
         sys.exit(2)
 
 
+def _operators(path: str | None) -> Operators:
+    try:
+        return subsystems.load(path)
+    except OperatorsError as error:
+        for line in str(error).splitlines():
+            click.echo(f"myrtlecrank: {line}", err=True)
+        sys.exit(2)
+
+
+OPERATORS = click.option(
+    "--operators", "operators_file", metavar="FILE",
+    help="The operators' file; else MYRTLECRANK_OPERATORS, else deploy/operators.toml where it is there.")
+
+
 @main.command()
 @click.argument("file", required=False)
-def serve(file: str | None) -> None:
+@OPERATORS
+def serve(file: str | None, operators_file: str | None) -> None:
     """Run one backend by the configuration in FILE, or in the file that PROXY_CONFIG names.
 
     SIGTERM is the notice to leave: it answers all that was read and ends within the configured time.
-    SIGHUP reads the configuration again and moves to the agent and the list that it names.
+    SIGHUP reads the configuration again and moves to the agent and the list that it names; it reads the
+    operators' file too, which is taken over whole or not at all.
     """
     from myrtlecrank.serve import hold_signals
     from myrtlecrank.serve import serve as run
 
     hold_signals()
-    told = _read(file)
+    told, operators = _read(file), _operators(operators_file)
     try:
-        code = run(told, lambda: orders.read(file))
+        code = run(told, operators, lambda: orders.read(file), lambda: subsystems.load(operators_file))
     except OSError as error:
         address = f"{told.listen[0]}:{told.listen[1]}"
         click.echo(f"myrtlecrank: cannot listen on {address}: {error.strerror}", err=True)
@@ -46,9 +66,11 @@
 
 @main.command()
 @click.argument("file", required=False)
-def check(file: str | None) -> None:
-    """Read a configuration and say in a few lines what it asks for; nothing is started."""
-    told = _read(file)
+@OPERATORS
+def check(file: str | None, operators_file: str | None) -> None:
+    """Read a configuration and the operators' file, and say in a few lines what they ask for; nothing is
+    started. Each mistake has a line of its own."""
+    told, operators = _read(file), _operators(operators_file)
     facts = told.facts
     click.echo(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
     click.echo(f"agent {told.agent[0]}:{told.agent[1]}, list {told.members[0]}:{told.members[1]}")
@@ -56,6 +78,25 @@
     for group in facts.groups:
         click.echo(f"{group.name}: {group.kind.value}, SLO time {group.slo:.0f} ms, "
                    f"async timeout {group.timeout:.0f} ms, benefit {group.benefit:g}")
+    click.echo(f"operators' file: {operators.path or 'none'}")
+    for name in subsystems.SECTIONS:
+        section = getattr(operators, name)
+        click.echo(f"[{name}] {'off' if section is None else _shown(section)}")
+
+
+def _shown(section: object) -> str:
+    values = {one.name: getattr(section, one.name) for one in fields(section)}  # type: ignore[arg-type]
+    return "on, " + ", ".join(f"{name} {value:g}" for name, value in values.items() if name != "on")
+
+
+@main.command()
+def figures() -> None:
+    """List what the operators' file may set: section, name, default, what is allowed and what it means."""
+    for section, (kind, _) in subsystems.SECTIONS.items():
+        click.echo(f"[{section}]")
+        for name, default, allowed, what in explain(kind):
+            shown = str(default).lower() if isinstance(default, bool) else f"{default:g}"
+            click.echo(f"{name} = {shown}  # {what} ({allowed})")
 
 
 @main.command()
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -19,6 +19,7 @@
 from myrtlecrank.core.board import Board
 from myrtlecrank.core.ends import OUTCOMES, End
 from myrtlecrank.core.letters import (
+    Adopt,
     Answer,
     Arrived,
     CallersLeft,
@@ -39,7 +40,9 @@
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.logic import Controller
 from myrtlecrank.port import Gauges, Kind, Outcome
+from myrtlecrank.repeats.bounds import Bounds
 from myrtlecrank.repeats.decide import Repeats, Tide
+from myrtlecrank.repeats.report import Report
 
 MAILBOX = 2048
 TURN = 128  # letters taken in one turn: a long batch would keep the loop from the sockets
@@ -82,7 +85,7 @@
         command: Callable[[Command], None],
         tell_health: Callable[[bool], None],
         now: float | None = None,
-        repeats: Repeats | None = None,
+        repeats: Bounds | None = None,
     ) -> None:
         self.mailbox: Mailbox[Event] = Mailbox(MAILBOX)
         self.board = Board(idle=facts.idle)
@@ -92,8 +95,8 @@
         self.on_shut: list[Callable[[], None]] = []
         self.now = unix_ms() if now is None else now
         self.controller: Controller | None = None
-        self.repeats = repeats
-        self.on_tide: list[Callable[[Tide, float], None]] = []
+        self.repeats: Repeats | None = None
+        self.report = Report()
         self.linked = False
         self.missed: str | None = None  # the tag of the sample that follows the missed notices
         self.table: dict[str, Entry] = {}
@@ -111,6 +114,7 @@
         self.alarm_due = 0.0
         self.stop_at: float | None = None
         self.timer, self.timer_due = get_hub().loop.timer(0.0), 0.0
+        self._adopt(repeats)
         self._idle_beat()
 
     def run(self) -> None:
@@ -165,6 +169,8 @@
                         standing.doubt = Outcome.UNREACHED
             case Leave():
                 self._leave()
+            case Adopt(bounds):
+                self._adopt(bounds)
 
     # Start, drain, the agent's link
 
@@ -463,12 +469,32 @@
         elif tag == self.sampled and self.controller is not None:
             self.sampled = None
             if self.repeats is not None:
-                tide = self.repeats.tide(self.now)
-                gauges.storm = tide.storm
-                for hook in self.on_tide:
-                    hook(tide, self.now)
+                gauges.storm = self._tide()
             self.controller.alarm(self.alarm[0], gauges, self.now)
 
+    # The estimate of repeats
+
+    def _adopt(self, bounds: Bounds | None) -> None:
+        """What was learned is kept where it still fits; a storm that is on ends with the estimate."""
+        if bounds is None:
+            self.repeats = None
+            self._tell_tide(None)
+        elif self.repeats is None:
+            timeouts = [group.timeout for group in self.facts.groups]
+            self.repeats = Repeats(timeouts, self.facts.seed, bounds, self.now)
+        else:
+            self.repeats.adopt(bounds)
+
+    def _tide(self) -> bool:
+        assert self.repeats is not None
+        tide = self.repeats.tide(self.now)
+        self._tell_tide(tide)
+        return tide.storm
+
+    def _tell_tide(self, tide: Tide | None) -> None:
+        for line in self.report.lines(tide, self.board.value, self.now):
+            logger.info("{}", line)
+
     # Kept results: repeats of what a read is about
 
     def _earlier(self, ticket: Ticket) -> Entry | None:
--- a/myrtlecrank/core/letters.py
+++ b/myrtlecrank/core/letters.py
@@ -9,6 +9,7 @@
 
 from myrtlecrank.core.ends import End
 from myrtlecrank.port import Gauges, Outcome
+from myrtlecrank.repeats.bounds import Bounds
 
 
 class Verdict(Enum):
@@ -103,6 +104,13 @@
     """The notice to leave."""
 
 
+@dataclass(slots=True)
+class Adopt:
+    """The operators set the estimate of repeats anew; None turns it off."""
+
+    repeats: Bounds | None
+
+
 # From it to the agent's link
 
 
@@ -123,5 +131,5 @@
     tag: str
 
 
-Event = Arrived | CallersLeft | Greeted | Parted | Unsent | RunEnded | Sampled | Leave
+Event = Arrived | CallersLeft | Greeted | Parted | Unsent | RunEnded | Sampled | Leave | Adopt
 Command = Launch | Freeze | Sample
--- /dev/null
+++ b/myrtlecrank/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' file: one TOML for all subsystems, read whole or not at all."""
--- /dev/null
+++ b/myrtlecrank/operators/sections.py
@@ -0,0 +1,67 @@
+"""Typed reading of one section of the operators' file into the figures that its package asks for.
+
+A package states its section as a frozen dataclass; the metadata of a field says what is allowed (see
+`figure`)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import Field, field, fields
+from difflib import get_close_matches
+from typing import Any, TypeVar
+
+Section = TypeVar("Section")
+
+
+def figure(default: Any, least: float = -math.inf, most: float = math.inf, what: str = "") -> Any:
+    """A field of a section: its default, the least and the most that is allowed, and what it means in a
+    line."""
+    return field(default=default, metadata={"least": least, "most": most, "what": what})
+
+
+def nearest(name: str, known: list[str]) -> str:
+    """The end of a message on an unknown name."""
+    close = get_close_matches(name, known, n=1, cutoff=0.5)
+    return f"; is {close[0]!r} meant?" if close else f"; known: {', '.join(sorted(known))}"
+
+
+def _allowed(one: Field[Any]) -> str:
+    if one.type == "bool":
+        return "true or false"
+    kind = "a whole number" if one.type == "int" else "a number"
+    least, most = one.metadata["least"], one.metadata["most"]
+    if math.isinf(most):
+        return kind if math.isinf(least) else f"{kind} of {least:g} or more"
+    return f"{kind} from {least:g} to {most:g}"
+
+
+def _fits(one: Field[Any], value: Any) -> bool:
+    if one.type == "bool":
+        return isinstance(value, bool)
+    if isinstance(value, bool) or not isinstance(value, int if one.type == "int" else int | float):
+        return False
+    return bool(one.metadata["least"] <= value <= one.metadata["most"])  # not so for nan
+
+
+def read(kind: type[Section], name: str, values: object, wrong: list[str]) -> Section | None:
+    """One section from its table; None, and a line in `wrong` for each mistake, where it makes no sense."""
+    if not isinstance(values, Mapping):
+        wrong.append(f"[{name}]: is {values!r:.60}; a table is wanted")
+        return None
+    known = {one.name: one for one in fields(kind)}  # type: ignore[arg-type]
+    before, taken = len(wrong), {}
+    for key, value in values.items():
+        one = known.get(key)
+        if one is None:
+            wrong.append(f"[{name}] {key}: unknown{nearest(key, list(known))}")
+        elif not _fits(one, value):
+            wrong.append(f"[{name}] {key}: is {value!r:.60}; allowed: {_allowed(one)}")
+        else:
+            taken[key] = float(value) if one.type == "float" else value
+    return kind(**taken) if len(wrong) == before else None
+
+
+def explain(kind: type[Any]) -> list[tuple[str, Any, str, str]]:
+    """Of each figure: name, default, what is allowed, what it means."""
+    return [(one.name, one.default, _allowed(one), one.metadata["what"]) for one in fields(kind)]
--- a/myrtlecrank/repeats/bounds.py
+++ b/myrtlecrank/repeats/bounds.py
@@ -4,20 +4,38 @@
 
 from dataclasses import dataclass
 
+from myrtlecrank.operators.sections import figure
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """All bounds with the values that are used where the operators say nothing."""
-
-    on: bool = True
-    storm_from: float = 0.30  # share of repeats from which a storm is on
-    storm_until: float = 0.15  # share below which it ends
-    begin_ms: float = 500.0  # how long the share must stand above before a storm is told
-    end_ms: float = 3000.0  # how long below before it is over
-    least_arrivals: int = 40  # no estimate before so many were seen
-    memory_ms: float = 10_000.0  # how long what was given up is remembered, twice that at the most
-    digests: int = 8192  # given-up exchanges remembered in each of the two slices
-    callers: int = 512  # callers told apart; the one heard of longest ago makes room
-    news_ms: float = 60.0  # a caller has heard an answer by then
-    deaf_from: float = 2.0  # breaches, halved every `deaf_half_ms`, from which a caller counts as deaf
-    deaf_half_ms: float = 8000.0
+    """Section [repeats]. All figures, with the values that are used where the operators say nothing."""
+
+    on: bool = figure(True, what="false: the program is as it is without the estimate")
+    storm_from: float = figure(0.30, 0.05, 0.95, "share of likely repeats from which a storm is on")
+    storm_until: float = figure(0.15, 0.01, 0.95, "share below which it ends")
+    begin_ms: float = figure(500.0, 0.0, 60_000.0, "how long the share stands above before a storm is on")
+    end_ms: float = figure(3000.0, 0.0, 600_000.0, "how long below before it is over")
+    least_arrivals: int = figure(40, 1, 100_000, "nothing is estimated before so many arrived")
+    memory_ms: float = figure(10_000.0, 100.0, 600_000.0, "how long what was given up is remembered at least")
+    digests: int = figure(8192, 64, 65_536, "exchanges remembered in each of two slices")
+    callers: int = figure(512, 8, 4096, "callers told apart; the one heard of longest ago makes room")
+    news_ms: float = figure(60.0, 1.0, 10_000.0, "how long an answer may be on its way to its caller")
+    deaf_from: float = figure(2.0, 0.5, 1000.0, "breaches or quick repeats from which a caller is deaf")
+    deaf_half_ms: float = figure(8000.0, 100.0, 600_000.0, "time in which these count half")
+
+
+def contradictions(bounds: Bounds) -> list[str]:
+    """What is legal alone and senseless together, a line each."""
+    wrong = []
+    if bounds.storm_until >= bounds.storm_from:
+        wrong.append(
+            f"storm_until: is {bounds.storm_until:g}, not below storm_from {bounds.storm_from:g}: "
+            "a storm would begin and end on the same share"
+        )
+    if bounds.least_arrivals > 4 * bounds.digests:
+        wrong.append(
+            f"least_arrivals: is {bounds.least_arrivals}, over four times digests {bounds.digests}: "
+            "what arrived would be forgotten before anything is estimated"
+        )
+    return wrong
--- a/myrtlecrank/repeats/callers.py
+++ b/myrtlecrank/repeats/callers.py
@@ -39,8 +39,13 @@
     """The callers that were heard of last, up to a bound."""
 
     def __init__(self, most: int, news: float, deaf_from: float, half: float) -> None:
-        self.most, self.news, self.deaf_from, self.half = most, news, deaf_from, half
         self.told: OrderedDict[int, Told] = OrderedDict()
+        self.adopt(most, news, deaf_from, half)
+
+    def adopt(self, most: int, news: float, deaf_from: float, half: float) -> None:
+        self.most, self.news, self.deaf_from, self.half = most, news, deaf_from, half
+        while len(self.told) > most:
+            self.told.popitem(last=False)
 
     def _of(self, caller: int, now: float) -> Told:
         told = self.told.get(caller)
--- a/myrtlecrank/repeats/decide.py
+++ b/myrtlecrank/repeats/decide.py
@@ -46,6 +46,13 @@
         self.storm = False
         self.crossed = now  # since when the share is beyond the bound that would change `storm`
 
+    def adopt(self, bounds: Bounds) -> None:
+        """Takes new bounds over. What was learned stays, but for tables whose size changed."""
+        old, self.bounds = self.bounds, bounds
+        if (bounds.digests, bounds.memory_ms) != (old.digests, old.memory_ms):
+            self.given = GivenUp(self.given.seed, bounds.digests, bounds.memory_ms)
+        self.heeding.adopt(bounds.callers, bounds.news_ms, bounds.deaf_from, bounds.deaf_half_ms)
+
     def _pass(self, now: float) -> None:
         """The clock may step back; what was counted then only fades later."""
         if now > self.now:
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -12,14 +12,17 @@
 
 from myrtlecrank import log
 from myrtlecrank.core.actor import Core, unix_ms
-from myrtlecrank.core.letters import Leave
+from myrtlecrank.core.letters import Adopt, Leave
 from myrtlecrank.edge.front import Front
 from myrtlecrank.farm.link import Link
+from myrtlecrank.operators.file import OperatorsError
 from myrtlecrank.orders import Orders, OrdersError
 from myrtlecrank.roll.actor import Roll
+from myrtlecrank.subsystems import SECTIONS, Operators
 
 FAILED = 70  # exit code after an error of our own
 LOOK_S = 0.02  # how often a leaving process looks whether all is done
+WRONG_LINES = 5  # of a file that makes no sense, in the log
 LAST_MS = 60.0  # before the process is stopped, it ends by itself
 
 
@@ -31,15 +34,21 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
-def serve(orders: Orders, again: Callable[[], Orders]) -> int:
+def serve(
+    orders: Orders,
+    operators: Operators,
+    again: Callable[[], Orders],
+    again_operators: Callable[[], Operators],
+) -> int:
     """Runs one backend until the notice to leave has been followed; its exit code. `again` reads the
-    configuration once more."""
+    configuration once more, `again_operators` the operators' file."""
     log.to_stderr()
     # The numeric addresses need no look-up, and so no threads for it.
     gevent.config.resolver = "block"
     link: Link
     roll = Roll(orders.members, orders.name)
-    core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.tell)
+    core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.tell,
+                repeats=operators.repeats)
     link = Link(orders.agent, orders.gauges, core.mailbox.post)
     over, code = Flag(), [0]
 
@@ -66,7 +75,27 @@
         logger.info("leaves with {} exchanges, {} connections", core.unanswered, len(front.connections))
         over.set()
 
+    held = [operators]
+
     def reload() -> None:
+        reload_orders()
+        reload_operators()
+
+    def reload_operators() -> None:
+        """Taken over whole, or not at all."""
+        try:
+            told = again_operators()
+        except OperatorsError as error:
+            for line in str(error).splitlines()[:WRONG_LINES]:
+                logger.error("the old operators' file goes on: {}", line[:300])
+            return
+        unlike = held[0].unlike(told)
+        if unlike:
+            logger.info("operators' file read: changed are {}", ", ".join(unlike))
+            core.mailbox.post(Adopt(told.repeats))
+        held[0] = told
+
+    def reload_orders() -> None:
         """The agent and the list may have moved; all else is as it was at the start."""
         try:
             told = again()
@@ -93,6 +122,9 @@
     for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
         spawn(work)
     logger.info("{} listens on {}:{}", orders.name, *orders.listen)
+    if operators.path is not None:
+        on = [name for name in SECTIONS if getattr(operators, name) is not None]
+        logger.info("operators' file {}: on are {}", operators.path, ", ".join(on) or "none")
     gc.collect()
     gc.freeze()
     over.wait()
--- /dev/null
+++ b/myrtlecrank/subsystems.py
@@ -0,0 +1,34 @@
+"""Which subsystems there are beside the module, and what the operators set of each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+
+from myrtlecrank.operators.file import Sections, find
+from myrtlecrank.operators.file import load as load_sections
+from myrtlecrank.repeats import bounds as repeats
+
+SECTIONS: Sections = {"repeats": (repeats.Bounds, repeats.contradictions)}
+
+
+@dataclass(frozen=True, slots=True)
+class Operators:
+    """What the operators' file says; a subsystem that is off or not in it is None."""
+
+    path: str | None = None
+    repeats: repeats.Bounds | None = None
+
+    def unlike(self, other: Operators) -> list[str]:
+        """The sections that differ there."""
+        names = [one.name for one in fields(self) if one.name != "path"]
+        return [name for name in names if getattr(self, name) != getattr(other, name)]
+
+
+def load(path: str | None = None) -> Operators:
+    """Reads the file named, else the environment's, else the usual one; without any, all are off. Raises
+    OperatorsError."""
+    found = find(path)
+    if found is None:
+        return Operators()
+    taken = load_sections(found, SECTIONS)
+    return Operators(found, **{name: section for name, section in taken.items() if section.on})
--- a/rig/backend.py
+++ b/rig/backend.py
@@ -26,7 +26,6 @@
     Ticket,
 )
 from myrtlecrank.repeats.bounds import Bounds
-from myrtlecrank.repeats.decide import Repeats
 from rig.callers import Said, Try, said_of
 from rig.clock import Clock
 from rig.machine import Build, Job, Machine
@@ -61,16 +60,13 @@
         self.woken = False
         self.wind_at = float("inf")
         self.tell_list = tell_list
-        repeats = None
-        if bounds is not None:
-            repeats = Repeats([g.timeout for g in facts.groups], facts.seed, bounds, clock.now)
         self.core = Core(
             replace(facts, cold=cold),
             stop_ms,
             self._command,
             lambda on: tell_list(number, on),
             now=clock.now,
-            repeats=repeats,
+            repeats=bounds,
         )
         with_core(self.core)
         up = clock.now - self.machine.born
