--- a/myrtlecrank/repeats/callers.py
+++ b/myrtlecrank/repeats/callers.py
@@ -72,7 +72,7 @@
             told.breaches += 1.0
         elif told.in_hand > told.credit + 1.0 and reached > told.credit_at + self.news:
             told.breaches += 0.25
-        return self._deaf(told)
+        return self.is_deaf(told)
 
     def likely(self, caller: int, soon: float) -> None:
         """`soon`: how likely the one that just came repeats another that was denied, not one that waited."""
@@ -80,7 +80,7 @@
         told.came += 1.0
         told.again += soon
 
-    def _deaf(self, told: Told) -> bool:
+    def is_deaf(self, told: Told) -> bool:
         return told.breaches >= self.deaf_from or (
             told.again >= self.deaf_from and told.again >= SHARE * told.came
         )
@@ -101,4 +101,4 @@
         told.in_hand = max(0, told.in_hand - 1)
 
     def deaf(self) -> int:
-        return sum(self._deaf(told) for told in self.told.values())
+        return sum(self.is_deaf(told) for told in self.told.values())
--- a/myrtlecrank/repeats/decide.py
+++ b/myrtlecrank/repeats/decide.py
@@ -12,7 +12,7 @@
 from myrtlecrank.repeats.patience import Patience
 
 SHARE_MS = 1000.0  # over which the share is taken
-ALIKE, OFF_PEAK, ON_PEAK = 0.95, 0.9, 0.05  # how likely a repeat is, by what is seen of it
+ALIKE, OFF_PEAK, ALIKE_ON_PEAK, ON_PEAK = 0.95, 0.9, 0.5, 0.05  # likely a repeat, by what is seen
 
 
 @dataclass(slots=True)
@@ -85,7 +85,7 @@
         if known and not peak:
             likely = OFF_PEAK
         elif alike:
-            likely = ALIKE
+            likely = ALIKE_ON_PEAK if known else ALIKE  # a popular subject that was denied looks so too
         else:
             likely = ON_PEAK if known else 0.0
         age = 0.0
--- a/myrtlecrank/repeats/given.py
+++ b/myrtlecrank/repeats/given.py
@@ -12,8 +12,9 @@
 from rbloom import Bloom
 
 WRONG = 0.01  # of distinct digests that are taken for another
+COUNTED = 16  # how often the same is told apart
 KEY = struct.Struct("<IId")
-OFFSET = 1 << 127
+OFFSET = 1 << 127  # digests are signed, with room for the counts
 
 
 def _same(digest: int) -> int:
@@ -21,21 +22,30 @@
 
 
 class Slice:
-    """Three filters of fixed size: what arrived, what of it was given up, what is popular."""
+    """Four filters of fixed size: what arrived, what of it was given up and what came again, how often, and
+    what is popular. A count is kept in a filter as the digest moved by 0, 1, 2 and so on."""
 
     def __init__(self, most: int) -> None:
         self.seen = Bloom(most, WRONG, _same)
         self.given = Bloom(most, WRONG, _same)
+        self.back = Bloom(most, WRONG, _same)
         self.popular = Bloom(most, WRONG, _same)
+        self.filters = (self.seen, self.given, self.back, self.popular)
         self.count = 0
 
     def clear(self) -> None:
-        self.seen.clear()
-        self.given.clear()
-        self.popular.clear()
+        for one in self.filters:
+            one.clear()
         self.count = 0
 
 
+def _times(one: Bloom, digest: int) -> int:
+    count = 0
+    while count < COUNTED and digest + count in one:
+        count += 1
+    return count
+
+
 class GivenUp:
     """Two slices in turn: the older one is forgotten when its time or its room is over, so that a flood of
     distinct digests shortens the memory instead of filling it."""
@@ -47,7 +57,8 @@
         self.turned_early = 0
 
     def digest(self, group: int, tenant: int, rank: float, body: bytes) -> int:
-        return xxhash.xxh3_128_intdigest(KEY.pack(group, tenant, rank) + body, seed=self.seed) - OFFSET
+        whole = xxhash.xxh3_128_intdigest(KEY.pack(group, tenant, rank) + body, seed=self.seed)
+        return min(whole - OFFSET, OFFSET - 1 - COUNTED)
 
     def turn(self, now: float) -> None:
         full = self.now.count >= self.most
@@ -58,21 +69,31 @@
             self.began = now
 
     def arrived(self, digest: int) -> bool:
-        """Whether it is likely the repeat of something given up here."""
+        """Whether it is likely the repeat of something given up here: each given up comes again once."""
         now, before = self.now, self.before
-        again = digest in now.given or digest in before.given
+        given = _times(now.given, digest) + _times(before.given, digest)
+        back = _times(now.back, digest) + _times(before.back, digest)
         seen = digest in now.seen or digest in before.seen
         popular = digest in now.popular or digest in before.popular
-        if seen and not again and not popular:
+        if seen and back >= given and not popular:
             now.popular.add(digest)
             popular = True
         if not seen:
             now.seen.add(digest)
             now.count += 1
-        return again and not popular
+        if back >= given or popular:
+            return False
+        self._add(now.back, digest)
+        return True
 
     def gave_up(self, digest: int) -> None:
-        self.now.given.add(digest)
+        self._add(self.now.given, digest)
+
+    def _add(self, one: Bloom, digest: int) -> None:
+        times = _times(one, digest)
+        if times < COUNTED:
+            one.add(digest + times)
+            self.now.count += times > 0  # counts fill the filters too
 
     @property
     def bytes(self) -> int:
--- /dev/null
+++ b/rig/__main__.py
@@ -0,0 +1,132 @@
+"""The rig's command line."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import click
+from loguru import logger
+from rich.console import Console
+from rich.progress import Progress
+
+from rig.experiments import EXPERIMENTS, Play, play, scene_of
+
+NAME = click.argument("name", type=click.Choice(list(EXPERIMENTS)))
+SUBSYSTEMS = click.Choice(["repeats"])
+CHANGES = [
+    click.option("--load", type=click.FloatRange(0.05, 2.0), help="Work asked for over the cores."),
+    click.option("--deaf", type=click.FloatRange(0.0, 1.0), help="Part of the callers that heed nothing."),
+    click.option("--backends", type=click.IntRange(2, 64)),
+    click.option("--callers", type=click.IntRange(1, 512)),
+    click.option("--quick", is_flag=True, help="Fewer backends and a shorter end."),
+]
+OUT = click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keeps result.json, table.md and chart.png there.",
+)
+
+
+def changed(command: Any) -> Any:
+    for option in CHANGES:
+        command = option(command)
+    return command
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Experiments on the program's own core between stand-ins, on a virtual clock: what the benches cannot
+    show."""
+    logger.remove()
+
+
+@main.command("list")
+def list_() -> None:
+    """The experiments, a line each."""
+    for name, one in EXPERIMENTS.items():
+        click.echo(f"{name:14} {one.what}")
+
+
+def _end(lines: list[dict[str, Any]], breaks: list[Play]) -> None:
+    click.echo(json.dumps(lines[0] if len(lines) == 1 else {"plays": lines}))
+    for one in breaks:
+        click.echo(f"seed {one.seed}: {one.first_break}", err=True)
+    sys.exit(1 if breaks else 0)
+
+
+@main.command("play")
+@NAME
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--off", type=SUBSYSTEMS, help="Plays without this subsystem.")
+@changed
+@OUT
+def play_(name: str, seed: int, off: str | None, quick: bool, out: Path | None, **changes: Any) -> None:
+    """Plays one experiment once. The last line on standard output is a JSON object."""
+    scene = scene_of(name, off == "repeats", quick, **changes)
+    with Progress(console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task(name, total=1.0)
+        one = play(name, seed, scene, lambda done: bar.update(task, completed=done))
+    if out is not None:
+        from rig.results import keep
+
+        keep([("off" if off else "on", one)], out, f"{name}, seed {seed}")
+    _end([one.line()], [one] if any(one.rules.values()) else [])
+
+
+def _job(job: tuple[str, str, int, dict[str, Any], bool]) -> tuple[str, Play]:
+    logger.remove()
+    side, name, seed, changes, quick = job
+    return side, play(name, seed, scene_of(name, side == "off", quick, **changes))
+
+
+@main.command()
+@NAME
+@click.option(
+    "--off", type=SUBSYSTEMS, default="repeats", show_default=True, help="What the one side is without."
+)
+@click.option("--seeds", type=click.IntRange(1, 10_000), default=5, show_default=True)
+@click.option(
+    "--jobs", type=click.IntRange(1, 64), default=max(1, (os.cpu_count() or 2) - 1), show_default=True
+)
+@changed
+@OUT
+def compare(
+    name: str, off: str, seeds: int, jobs: int, quick: bool, out: Path | None, **changes: Any
+) -> None:
+    """Plays with and without a subsystem, turn about, on the same seeds."""
+    from rig.results import keep, summary, table
+
+    work = [(side, name, seed, changes, quick) for seed in range(1, seeds + 1) for side in ("on", "off")]
+    plays: list[tuple[str, Play]] = []
+    with ProcessPoolExecutor(jobs) as pool, Progress(console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task(name, total=len(work))
+        for done in pool.map(_job, work):
+            plays.append(done)
+            bar.advance(task)
+    plays.sort(key=lambda one: (one[0], one[1].seed))
+    click.echo(table(plays), err=True)
+    said = ", ".join(f"{key} {value:g}" for key, value in changes.items() if value is not None)
+    if out is not None:
+        keep(
+            plays, out, f"{name}{', ' + said if said else ''}: {off} on and off, {seeds} seeds, virtual clock"
+        )
+    broken = [p for side, p in plays if any(p.rules.values()) and side == "on"]
+    _end([{"experiment": name, "seeds": seeds, "summary": summary(plays)}], broken)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def chart(folder: Path) -> None:
+    """Draws the chart again from the results kept in FOLDER."""
+    from rig.results import again
+
+    click.echo(str(again(folder)))
+
+
+if __name__ == "__main__":
+    main()
--- a/rig/backend.py
+++ b/rig/backend.py
@@ -47,6 +47,7 @@
         tell_list: Callable[[int, bool], None],
         bounds: Bounds | None,
         with_core: Callable[[Core], None] = lambda _: None,
+        on_read: Callable[[Try], None] = lambda _: None,
     ) -> None:
         self.number, self.clock, self.rules = number, clock, rules
         self.machine = Machine(clock, build, cold, None if cold else clock.now - 60_000.0)
@@ -59,7 +60,7 @@
         self.letters: list[Event] = []
         self.woken = False
         self.wind_at = float("inf")
-        self.tell_list = tell_list
+        self.on_read = on_read
         self.core = Core(
             replace(facts, cold=cold),
             stop_ms,
@@ -117,6 +118,7 @@
         wish = one.wish
         self.tries[one.ident] = one
         self.rules.read(one, self.clock.now)
+        self.on_read(one)
         wait = wish.due - wish.first if one.caller.habits.told_whole else one.wait
         self._post(
             Arrived(
--- /dev/null
+++ b/rig/experiments.py
@@ -0,0 +1,138 @@
+"""The experiments: what is played, and which figures come of it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, replace
+from typing import Any
+
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from rig.fleet import Fleet, Scene, figures
+from rig.truth import Truth
+
+Progress = Callable[[float], None]
+CALM = Scene(killed=0.0, deaf=0.0, after_ms=23_000.0)
+
+
+@dataclass(frozen=True)
+class Experiment:
+    what: str
+    scene: Scene
+    storm: bool = True  # something is killed: there is a recovery
+
+
+EXPERIMENTS = {
+    "storm": Experiment(
+        "a fifth of the backends are killed and come back cold", Scene(killed=0.2)
+    ),
+    "storm-deploy": Experiment(
+        "the same while a rolling deploy replaces the others, a fifth at a time",
+        Scene(killed=0.2, deploy=True),
+    ),
+    "storm-deaf": Experiment("the same, six tenths of the callers deaf", Scene(killed=0.2, deaf=0.6)),
+    "storm-patient": Experiment(
+        "as storm-deaf with SLO time 1.8 s and async timeout 4.5 s: repeats live longer",
+        Scene(killed=0.2, deaf=0.6, slo=1800.0, timeout=4500.0),
+    ),
+    "calm": Experiment("nothing happens; callers heed", CALM, storm=False),
+    "coach-party": Experiment(
+        "bursts of 1.6 times the load, half for five popular subjects; callers heed, nothing is killed",
+        replace(CALM, burst=1.6, party=0.5, load=0.6),
+        storm=False,
+    ),
+}
+
+
+@dataclass
+class Play:
+    """What came of one play."""
+
+    experiment: str
+    seed: int
+    parameters: dict[str, Any]
+    figures: dict[str, float | None]
+    rules: dict[str, int]
+    first_break: str | None
+    series: dict[str, list[float]]
+    latency_ms: dict[str, float]
+    took_s: float
+    incomplete: str | None = None
+
+    def line(self) -> dict[str, Any]:
+        return {
+            "experiment": self.experiment,
+            "seed": self.seed,
+            "figures": self.figures,
+            "rules": self.rules,
+            "incomplete": self.incomplete,
+        }
+
+
+def scene_of(name: str, off: bool = False, quick: bool = False, **changes: Any) -> Scene:
+    scene = EXPERIMENTS[name].scene
+    if quick:
+        scene = replace(
+            scene,
+            backends=min(scene.backends, 5),
+            callers=min(scene.callers, 15),
+            after_ms=min(scene.after_ms, 22_000.0),
+        )
+        if scene.killed:
+            scene = replace(scene, killed=0.4)
+    scene = replace(scene, **{key: value for key, value in changes.items() if value is not None})
+    return replace(scene, repeats=None) if off else scene
+
+
+def could(scene: Scene) -> float:
+    """Service that an all-knowing fleet gives with the backends that are left: each wish is read once, the
+    dearest are served."""
+    left = 1.0 - round(scene.killed * scene.backends) / scene.backends
+    work = sum(g.share * g.work for g in scene.groups)
+    reading = scene.build.reading / work
+    room = max(0.0, left / scene.load - reading)  # of the work that is asked for
+    asked = sum(g.share * g.benefit for g in scene.groups)
+    earned = 0.0
+    for g in sorted(scene.groups, key=lambda g: -g.benefit / g.work):
+        part = min(1.0, room / (g.share * g.work / work))
+        earned += part * g.share * g.benefit
+        room -= part * g.share * g.work / work
+    return earned / asked
+
+
+def play(name: str, seed: int, scene: Scene, progress: Progress = lambda _: None) -> Play:
+    began = time.perf_counter()
+    fleet = Fleet(scene, seed)
+    truth = Truth(fleet)
+    fleet.seen.append(lambda now: progress(now / scene.end))
+    fleet.play()
+    found = figures(fleet)
+    rules, first = found.pop("rules"), found.pop("first_break")
+    if EXPERIMENTS[name].storm:
+        found["service_in_storm"] = round(found["away"] / could(scene), 3)
+    else:
+        for key in ("away", "first_10s", "after_20s", "recovery_s", "deaf"):
+            found.pop(key)
+    found |= truth.figures() if scene.repeats is not None else {}
+    counts = fleet.counts()
+    times = HdrHistogram(1, 60_000, 3)
+    for wish in fleet.wishes:
+        if wish.served_at is not None:
+            times.record_value(max(1, round(wish.served_at - wish.first)))
+    return Play(
+        name,
+        seed,
+        asdict(scene),
+        found,
+        rules,
+        first,
+        {
+            "asked": counts.asked,
+            "earned": counts.earned,
+            "wishes": [float(n) for n in counts.wishes],
+            "tries": [float(n) for n in counts.tries],
+        },
+        {f"p{p:g}": float(times.get_value_at_percentile(p)) for p in (50.0, 90.0, 99.0)},
+        round(time.perf_counter() - began, 2),
+    )
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -138,6 +138,7 @@
         self.listed_at: list[list[tuple[float, bool]]] = [[] for _ in range(scene.backends)]
         self.starts = 0
         self.seen: list[Callable[[float], None]] = []  # looks every 100 ms
+        self.on_read: list[Callable[[Try], None]] = []
         for number in range(scene.backends):
             self.listed_at[number].append((-1e9, True))
             self.backends.append(self._start(number, cold=False))
@@ -204,8 +205,13 @@
             self._tell_list,
             self.scene.repeats,
             self.with_core,
+            self._read,
         )
 
+    def _read(self, one: Try) -> None:
+        for hook in self.on_read:
+            hook(one)
+
     def kill(self, number: int) -> None:
         self.backends[number].kill()
         at = self.clock.now + self.scene.lapse_ms - self.chance.uniform(0.0, 800.0)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
+from rig.__main__ import main
 from rig.callers import Caller, Habits, Said, Try, Wish
 from rig.clock import Clock
+from rig.experiments import play, scene_of
 from rig.fleet import Fleet, Scene, figures
 from rig.machine import Build, Machine
 from rig.rules import Rules
@@ -189,3 +194,45 @@
     assert on["recovery_s"] is not None and on["recovery_s"] < 15.0
     assert on["heeding"] > off["heeding"], "those that heed gain as well"
     assert not any(on["rules"].values())
+
+
+def test_play_prints_one_object_with_figures_and_rules_as_its_last_line() -> None:
+    result = CliRunner().invoke(main, ["play", "storm", "--quick", "--seed", "2"])
+    assert result.exit_code == 0
+    told = json.loads(result.stdout.splitlines()[-1])
+    assert told["experiment"] == "storm" and told["seed"] == 2 and told["incomplete"] is None
+    assert set(told["rules"].values()) == {0}
+    assert {"recovery_s", "service_in_storm", "tries_per_first", "estimate_error"} <= set(told["figures"])
+    assert told["figures"]["estimate_error"] < 0.10
+    assert told["figures"]["wrongly_deaf"] == 0
+
+
+@pytest.mark.parametrize("name", ["calm", "coach-party"])
+def test_no_false_alarm_without_repeats(name: str) -> None:
+    one = play(name, 1, scene_of(name, quick=True))
+    assert one.figures["false_alarm_s"] == 0.0
+    assert not any(one.rules.values())
+
+
+def test_a_broken_rule_ends_play_with_1_and_its_first_case(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Rules, "answered", lambda self, one, *_: self._broken("twice", self.story(one)))
+    result = CliRunner().invoke(main, ["play", "calm", "--quick"])
+    assert result.exit_code == 1
+    assert "twice: try" in result.stderr
+
+
+def test_compare_keeps_results_and_the_chart_can_be_drawn_again(tmp_path: Path) -> None:
+    out = tmp_path / "kept"
+    result = CliRunner().invoke(
+        main, ["compare", "storm", "--quick", "--seeds", "1", "--jobs", "1", "--out", str(out)]
+    )
+    assert result.exit_code == 0, result.output
+    assert {file.name for file in out.iterdir()} == {"result.json", "table.md", "chart.png"}
+    (out / "chart.png").unlink()
+    assert CliRunner().invoke(main, ["chart", str(out)]).exit_code == 0
+    assert (out / "chart.png").stat().st_size > 10_000
+
+
+def test_a_rolling_deploy_in_a_storm_keeps_the_rules() -> None:
+    one = play("storm-deploy", 3, scene_of("storm-deploy", quick=True))
+    assert not any(one.rules.values()), one.first_break
