The simulator's instances take the estimate of repeats as the backend does

Need: one module for all sites, with the same facts in the simulator and on sockets. Change: repeats/marks.py carries exchanges to the estimate for both hosts; the simulator tells no bodies, so likeness is left out there.

--- a/myrtlecrank/benchlink/__main__.py
+++ b/myrtlecrank/benchlink/__main__.py
@@ -3,13 +3,18 @@
 import sys
 import traceback
 
+from myrtlecrank import subsystems
 from myrtlecrank.benchlink.host import Panic, serve
 from myrtlecrank.benchlink.wire import WireError
+from myrtlecrank.operators.file import OperatorsError
 
 
 def main() -> int:
     try:
-        serve(sys.stdin.buffer, sys.stdout.buffer)
+        serve(sys.stdin.buffer, sys.stdout.buffer, subsystems.load().repeats)
+    except OperatorsError as error:
+        print(f"benchlink: {error}", file=sys.stderr)
+        return 2
     except WireError as error:
         print(f"benchlink: {error}", file=sys.stderr)
         return 1
--- a/myrtlecrank/benchlink/host.py
+++ b/myrtlecrank/benchlink/host.py
@@ -9,13 +9,16 @@
 from myrtlecrank import port
 from myrtlecrank.benchlink import wire
 from myrtlecrank.logic import Controller
+from myrtlecrank.repeats import marks
+from myrtlecrank.repeats.bounds import Bounds
+from myrtlecrank.repeats.decide import Repeats
 from myrtlecrank.startfacts import Fields, start_facts
 
 
 class Instance:
     """One backend: its controller, the exchanges it may still be told about, and what it wants done."""
 
-    def __init__(self, number: int, event: Fields, now: float) -> None:
+    def __init__(self, number: int, event: Fields, now: float, bounds: Bounds | None = None) -> None:
         facts = start_facts(event.inner("conf"), event.integer("rngSeed"))
         self.number = number
         self.tells_left = facts.tells_left
@@ -26,9 +29,20 @@
         self.ids: dict[port.Exchange, int] = {}
         self.ages: deque[tuple[float, int]] = deque()
         self.replies: list[bytes] = []
+        self.now = now
+        self.credit: float | None = None  # the published value
+        # The simulator tells no bodies: likeness is left out, all else is as on sockets.
+        self.repeats = None
+        if bounds is not None:
+            self.repeats = Repeats([g.timeout for g in facts.groups], facts.seed, bounds, now)
         self.controller = Controller(facts, self.do, now)
 
     def do(self, op: port.Operation) -> None:
+        if isinstance(op, port.Publish):
+            self.credit = op.value
+        elif isinstance(op, port.Deny | port.Fail):
+            wait = op.wait if isinstance(op, port.Deny) else 0.0
+            marks.answered(self.repeats, op.ex, b"", True, wait, self.credit, self.now)
         self.replies.append(wire.action(op, self.number, self.ids.__getitem__))
 
     def forget_old(self, now: float) -> None:
@@ -44,12 +58,15 @@
         if named:
             # A repeat stays one even if what it repeats is no longer in the table.
             ex.earlier = self.exchanges.get(named) or port.Exchange(ex.group, None, 0.0, 0.0)
+        wait = None if ex.left is None else ex.left + ex.waited
+        marks.arrived(self.repeats, ex, b"", wait, now)
         self.exchanges[ident] = ex
         self.ids[ex] = ident
         self.ages.append((now, ident))
         return ex
 
     def event(self, event: Fields, now: float) -> None:
+        self.now = now
         name = event.text("msg")
         known = self.exchanges.get(event.integer("call")) if name in ABOUT_ONE else None
         if name == "inbound":
@@ -57,6 +74,9 @@
         elif name == "result":
             end, took = wire.outcome(event), event.ms("costTime", 0.0)
             if known:
+                if end in (port.Outcome.OK, port.Outcome.ERROR):
+                    failed = end is port.Outcome.ERROR
+                    marks.answered(self.repeats, known, b"", failed, 0.0, self.credit, now)
                 self.controller.finished(known, end, took, now)
         elif name == "atCall":
             if known:
@@ -67,11 +87,15 @@
                 self.controller.call_ended(known, end, took, now)
         elif name == "expired":
             if known:
+                if self.repeats is not None:
+                    self.repeats.left(known.caller, now)
                 self.controller.caller_left(known, now)
         elif name == "terminateSoon":
             self.controller.leave(event.ms("patienceLeft"), now)
         elif name == "fired":
-            self.controller.alarm(event.text("name"), wire.gauges(event), now)
+            gauges = wire.gauges(event)
+            gauges.storm = self.repeats is not None and self.repeats.tide(now).storm
+            self.controller.alarm(event.text("name"), gauges, now)
 
 
 ABOUT_ONE = {"result", "atCall", "cameBack", "expired"}
@@ -79,7 +103,8 @@
 
 
 class Host:
-    def __init__(self) -> None:
+    def __init__(self, bounds: Bounds | None = None) -> None:
+        self.bounds = bounds
         self.instances: dict[int, Instance] = {}
         self.now: float | None = None
         self.touched: dict[int, Instance] = {}
@@ -98,7 +123,7 @@
             return self._reply(self.now)
         number = event.integer("backendId")
         if name == "start":
-            started = self._guarded(number, Instance, number, event, self.now)
+            started = self._guarded(number, Instance, number, event, self.now, self.bounds)
             self.instances[number] = self.touched[number] = started
         elif name == "retire":
             self.instances.pop(number, None)
@@ -142,9 +167,9 @@
         self.line = wire.panic(backend, cause)
 
 
-def serve(lines: Iterable[bytes], out: BinaryIO) -> None:
-    """Runs until the input ends; raises WireError at a malformed line."""
-    host = Host()
+def serve(lines: Iterable[bytes], out: BinaryIO, bounds: Bounds | None = None) -> None:
+    """Runs until the input ends; raises WireError at a malformed line. `bounds`: of the repeats."""
+    host = Host(bounds)
     number = 0
     for number, line in enumerate(lines, 1):
         if not line.strip():
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -40,6 +40,7 @@
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.logic import Controller
 from myrtlecrank.port import Gauges, Kind, Outcome
+from myrtlecrank.repeats import marks
 from myrtlecrank.repeats.bounds import Bounds
 from myrtlecrank.repeats.decide import Repeats, Tide
 from myrtlecrank.repeats.report import Report
@@ -254,10 +255,7 @@
             keyed=bool(ticket.about),
             earlier=earlier.ex if earlier else None,
         )
-        if self.repeats is not None:
-            view = self.repeats.arrived(ticket.group, ticket.tenant, ticket.rank, ticket.body, ticket.caller,
-                                        ticket.wait, ticket.reached, self.now)
-            ex.likely, ex.age, ex.deaf = view.likely, view.age, view.deaf
+        marks.arrived(self.repeats, ex, ticket.body, ticket.wait, self.now)
         entry = self.table[ticket.ident] = self.entries[ex] = Entry(ticket, ex, earlier)
         self.unanswered += 1
         self.controller.arrived(ex, self.now)
@@ -339,11 +337,9 @@
                 last: bool = False) -> None:
         if not entry.answered:
             self._answered(entry)
-            if self.repeats is not None:
-                t = entry.ticket
-                given_up = verdict is not Verdict.COMPLETED
-                self.repeats.answered(t.group, t.tenant, t.rank, t.body, t.caller, given_up, wait,
-                                      self.board.value, self.now)
+            given_up = verdict is not Verdict.COMPLETED
+            said = self.board.value
+            marks.answered(self.repeats, entry.ex, entry.ticket.body, given_up, wait, said, self.now)
             entry.ticket.answer(Answer(entry.ticket, verdict, result, wait, last))
 
     def _answered(self, entry: Entry) -> None:
--- a/myrtlecrank/repeats/patience.py
+++ b/myrtlecrank/repeats/patience.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from array import array
+from heapq import nlargest
 
 WIDE = 2.0  # ms in a bin
 REACH = 2  # bins on either side that belong to a peak: times are told in whole ms
@@ -53,7 +54,7 @@
 
     def _learn(self) -> None:
         found: list[int] = []
-        order = sorted(range(MOST), key=self.bins.__getitem__, reverse=True)[:8]
+        order = nlargest(8, range(MOST), key=self.bins.__getitem__)
         for at in order:
             if not self.bins[at] or any(abs(at - peak) <= 2 * REACH for peak in found):
                 continue
--- a/rig/backend.py
+++ b/rig/backend.py
@@ -34,6 +34,7 @@
 
 class Backend:
     HOP = 0.5  # ms between callers, backends and agents
+    LOOK = 20.0  # how often a leaving process looks whether all is done
 
     def __init__(
         self,
@@ -92,7 +93,7 @@
             at = self.wind_at = max(timers[0][0], self.clock.now)
             self.clock.at(at, lambda: self._ring(at))
         if self.notice is not None and not self.core.unanswered and self.core.board.shut and not self.unread:
-            self.stop()
+            self.clock.after(self.LOOK, self.stop)  # answers on their way are written first
 
     def _ring(self, at: float) -> None:
         if at == self.wind_at and self.alive:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -10,6 +10,8 @@
 
 from myrtlecrank.benchlink import host
 from myrtlecrank.benchlink.wire import WireError
+from myrtlecrank.repeats.bounds import Bounds
+from myrtlecrank.startfacts import Fields
 
 CONF = {
     "categories": [{"name": "a", "effect": "read_like", "aim": 1_000_000, "deadline": 4_000_000, "new": 1}],
@@ -74,3 +76,15 @@
     with pytest.raises(host.Panic):
         host.serve([json.dumps(row).encode() for row in (TURN, START, INBOUND, FLUSH)], out)
     assert json.loads(out.getvalue().splitlines()[0])["text"] == "RuntimeError: boom"
+
+
+def test_instances_of_the_simulator_take_the_estimate_of_repeats_as_the_backend_does() -> None:
+    one = host.Instance(3, Fields(START, "start"), 0.0, Bounds(least_arrivals=1, begin_ms=0.0))
+    assert one.repeats is not None
+    for call in range(1, 400):
+        left = 900_000 if call % 3 else 3_000_000 - call * 5_000
+        one.event(Fields(INBOUND | {"call": call, "patienceLeft": left}, "inbound"), call * 10.0)
+        if call % 10 == 0:
+            one.event(Fields({"msg": "fired", "name": "beat"}, "fired"), call * 10.0)
+    assert one.repeats.tide(4000.0).share == pytest.approx(0.3, abs=0.1)
+    assert one.controller.storm
