--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -82,9 +82,9 @@
     one = host.Instance(3, Fields(START, "start"), 0.0, Bounds(least_arrivals=1, begin_ms=0.0))
     assert one.repeats is not None
     for call in range(1, 400):
-        left = 900_000 if call % 3 else 3_000_000 - call * 5_000
+        left = 900_000 if call % 2 else 3_000_000 - call * 5_000
         one.event(Fields(INBOUND | {"call": call, "patienceLeft": left}, "inbound"), call * 10.0)
         if call % 10 == 0:
             one.event(Fields({"msg": "fired", "name": "beat"}, "fired"), call * 10.0)
-    assert one.repeats.tide(4000.0).share == pytest.approx(0.3, abs=0.1)
+    assert one.repeats.tide(4000.0).share == pytest.approx(0.45, abs=0.1)
     assert one.controller.storm
