The rig: what stands around a backend is apart from what carries the exchanges

Need: real processes shall stand between the same machines, callers and rules as the virtual backends.

--- a/rig/experiments.py
+++ b/rig/experiments.py
@@ -24,9 +24,7 @@
 
 
 EXPERIMENTS = {
-    "storm": Experiment(
-        "a fifth of the backends are killed and come back cold", Scene(killed=0.2)
-    ),
+    "storm": Experiment("a fifth of the backends are killed and come back cold", Scene(killed=0.2)),
     "storm-deploy": Experiment(
         "the same while a rolling deploy replaces the others, a fifth at a time",
         Scene(killed=0.2, deploy=True),
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -16,6 +16,7 @@
 from rig.clock import Clock
 from rig.machine import Build
 from rig.rules import Rules
+from rig.stand import Stand
 
 BUILD, HEEDING, DEAF, BOUNDS = Build(), Habits(), Habits(deaf=True), Bounds()
 
@@ -127,14 +128,20 @@
 
 
 class Fleet:
-    def __init__(self, scene: Scene, seed: int, with_core: Callable[[Core], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        scene: Scene,
+        seed: int,
+        with_core: Callable[[Core], None] = lambda _: None,
+        clock: Clock | None = None,
+    ) -> None:
         self.scene, self.seed, self.with_core = scene, seed, with_core
-        self.clock = Clock()
+        self.clock = clock or Clock()
         self.chance = random.Random(f"fleet {seed}")
         self.rules = Rules(scene.grace)
         self.tries: list[Try] = []
         self.wishes: list[Wish] = []
-        self.backends: list[Backend] = []
+        self.backends: list[Stand] = []
         self.listed_at: list[list[tuple[float, bool]]] = [[] for _ in range(scene.backends)]
         self.starts = 0
         self.seen: list[Callable[[float], None]] = []  # looks every 100 ms
@@ -188,11 +195,11 @@
         return known
 
     def send(self, one: Try) -> None:
-        self.clock.after(Backend.HOP, lambda: self.backends[one.backend].asked(one))
+        self.clock.after(Stand.HOP, lambda: self.backends[one.backend].asked(one))
 
     # Backends
 
-    def _start(self, number: int, cold: bool) -> Backend:
+    def _start(self, number: int, cold: bool) -> Stand:
         self.starts += 1
         return Backend(
             number,
--- a/rig/truth.py
+++ b/rig/truth.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from myrtlecrank.repeats.decide import SHARE_MS
+from rig.backend import Backend
 from rig.callers import Try
 from rig.fleet import Fleet
 
@@ -45,13 +46,16 @@
         self.fleet.seen.append(self.look)
         self.fleet.on_read.append(self.read)
 
+    def _backends(self) -> list[Backend]:
+        return [one for one in self.fleet.backends if isinstance(one, Backend)]
+
     def read(self, one: Try) -> None:
         share = self.shares.setdefault(one.backend, Share())
         share.arrivals += 1.0
         share.again += one.number > 1
 
     def look(self, now: float) -> None:
-        for backend in self.fleet.backends:
+        for backend in self._backends():
             share = self.shares.setdefault(backend.number, Share())
             repeats = backend.core.repeats
             if not backend.alive or repeats is None:
@@ -82,7 +86,7 @@
     def _deaf(self, now: float) -> None:
         """How many of the callers that heed nothing are known as such, and whether others are."""
         truly = {c.number for c in self.fleet.callers if c.habits.deaf}
-        for backend in self.fleet.backends:
+        for backend in self._backends():
             repeats = backend.core.repeats
             if not backend.alive or repeats is None or not repeats.storm:
                 continue
