The rig plays its experiments with real processes on loopback as well

Need: the virtual fleet leaves out fronts, links and the loop; what it shows must hold for the program that serves.

--- a/rig/results.py
+++ b/rig/results.py
@@ -27,6 +27,9 @@
     "false_alarm_s",
     "deaf_known",
     "wrongly_deaf",
+    "cpu_ms_per_exchange",
+    "peak_mb",
+    "rig_late_ms",
 )
 
 
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -48,6 +48,14 @@
         if one.read_at is not None and now > max(one.read_at, one.reached + one.wait) + self.slack:
             self._broken("lost", f"late answer at {now:.0f}: {self.story(one)}")
 
+    def dropped(self, one: Try, now: float) -> None:
+        """Its connection ended at a backend that neither left nor died."""
+        self._broken("lost", f"connection closed at {now:.0f}: {self.story(one)}")
+
+    def strange(self, backend: int, stream: int, now: float) -> None:
+        """An answer on a stream that has none to come."""
+        self._broken("twice", f"backend {backend} answered stream {stream} at {now:.0f}, where none was open")
+
     def cut(self, one: Try) -> None:
         """Its machine was killed: no rule asks for an answer."""
         one.broken = True
