--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of single parts, as ratios in one run."""
--- /dev/null
+++ b/benchmarks/repeats.py
@@ -0,0 +1,110 @@
+"""What the estimate of repeats costs: CPU an exchange through the module's actor, and memory, on over off.
+
+.venv/bin/python -m benchmarks.repeats
+
+Both sides run in this process, turn about, on the same exchanges; the agent and the callers are nothing. The
+ratio is of the actor alone, so it overstates what a serving process sees, where sockets and frames cost
+several times as much. Prints one JSON object."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+import tracemalloc
+from statistics import median
+from typing import Any
+
+from loguru import logger
+
+from myrtlecrank.core.actor import Core
+from myrtlecrank.core.letters import Answer, Arrived, Greeted, Launch, RunEnded, Sample, Sampled, Ticket
+from myrtlecrank.port import Gauges, Outcome
+from myrtlecrank.repeats.bounds import Bounds
+from rig.fleet import Scene
+
+ROUNDS, EXCHANGES, GAP_MS = 9, 4000, 5.0
+
+
+class Bench:
+    def __init__(self, bounds: Bounds | None) -> None:
+        self.commands: list[Any] = []
+        self.answers = 0
+        facts = Scene().facts(1)
+        self.core = Core(facts, 3200.0, self.commands.append, lambda _: None, now=0.0, repeats=bounds)
+        self.chance = random.Random(1)
+        self.now, self.count = 0.0, 0
+        self.core.turn([Greeted(False, 60_000.0)], 0.0)
+
+    def _answer(self, _: Answer) -> None:
+        self.answers += 1
+
+    def _one(self) -> None:
+        self.now += GAP_MS
+        self.count += 1
+        chance = self.chance
+        repeat = chance.random() < 0.3
+        wait = chance.uniform(200.0, 2400.0) if repeat else 1000.0
+        ident = f"{self.count:016x}"
+        body = (b"subject %d " % self.count) * 60
+        ticket = Ticket(
+            ident,
+            self.count % 2,
+            self.count % 6,
+            self.now - 20.0,
+            wait,
+            20.0,
+            0.5,
+            self.count % 24,
+            "",
+            body,
+            self._answer,
+        )
+        self.core.turn([Arrived(ticket)], self.now)
+        for command in self.commands:
+            if isinstance(command, Launch):
+                ended = RunEnded(command.ident, Outcome.OK, 15.0, b"")
+                self.core.turn([ended], self.now + 1.0)
+            elif isinstance(command, Sample):
+                self.core.turn([Sampled(command.tag, Gauges(0.5, 3.0, 0.1, 24.0))], self.now + 1.0)
+        self.commands.clear()
+
+    def round(self) -> float:
+        """CPU ms an exchange."""
+        began = time.process_time()
+        for _ in range(EXCHANGES):
+            self._one()
+        return (time.process_time() - began) * 1000.0 / EXCHANGES
+
+
+def memory(bounds: Bounds | None) -> float:
+    """MB held after a round, without what is outside of Python's own memory."""
+    tracemalloc.start()
+    bench = Bench(bounds)
+    bench.round()
+    held = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    repeats = bench.core.repeats
+    return held + (repeats.given.bytes / 1e6 if repeats is not None else 0.0)
+
+
+def main() -> dict[str, float]:
+    logger.remove()
+    sides = {"on": Bench(Bounds()), "off": Bench(None)}
+    costs: dict[str, list[float]] = {"on": [], "off": []}
+    for bench in sides.values():
+        bench.round()  # warm
+    for _ in range(ROUNDS):
+        for side, bench in sides.items():
+            costs[side].append(bench.round())
+    on, off = median(costs["on"]), median(costs["off"])
+    return {
+        "actor_us_on": round(on * 1000.0, 1),
+        "actor_us_off": round(off * 1000.0, 1),
+        "actor_ratio": round(on / off, 3),
+        "memory_mb": round(memory(Bounds()) - memory(None), 2),
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(main()))
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -280,9 +280,11 @@
             self.wishes.append(wish)
             caller.ask(wish)
             burst = scene.burst if now % 10_000.0 < 4000.0 and now > scene.calm_ms else 1.0
-            self.clock.after(arrivals.expovariate(pace * burst), one)
+            due[0] += arrivals.expovariate(pace * burst)
+            self.clock.at(due[0], one)
 
-        self.clock.after(arrivals.expovariate(pace), one)
+        due = [self.clock.now + arrivals.expovariate(pace)]  # not from now on: lateness would thin the load
+        self.clock.at(due[0], one)
 
     def _look(self) -> None:
         self.rules.look(self.clock.now)
