--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -441,6 +441,8 @@
         return f"{kind}{number}"
 
     def _beat(self) -> None:
+        if self.controller is not None:
+            self.board.late, self.board.warmth = max(0.0, self.now - self.alarm_due), self.controller.warmth()
         for hook in self.on_beat:
             hook(self.now)
 
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -14,6 +14,7 @@
 from myrtlecrank.core.letters import CallersLeft, Ticket
 from myrtlecrank.edge.caller import Caller
 from myrtlecrank.edge.connection import Connection
+from myrtlecrank.edge.pace import Accepting, Pace
 from myrtlecrank.frames import codec
 
 BACKLOG = 512
@@ -25,7 +26,12 @@
 
 class Front:
     def __init__(
-        self, address: tuple[str, int], sockets: int, core: Core, spawn: Callable[..., object] = gevent.spawn
+        self,
+        address: tuple[str, int],
+        sockets: int,
+        core: Core,
+        spawn: Callable[..., object] = gevent.spawn,
+        accepting: Accepting | None = None,
     ) -> None:
         self.core, self.board, self.spawn = core, core.board, spawn
         self.most = max(1, sockets - SPARE_SOCKETS)
@@ -40,9 +46,15 @@
         self.listener.listen(BACKLOG)
         self.swept = unix_ms()
         self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
+        self.pace: Pace | None = None
+        self.adopt(accepting)
         core.on_beat.append(self.sweep)
         core.on_shut.append(self.shut)
 
+    def adopt(self, accepting: Accepting | None) -> None:
+        """The operators set the pace anew; None: connections are accepted as they come."""
+        self.pace = None if accepting is None else Pace(accepting, unix_ms())
+
     def run(self) -> None:
         """Accepts until the notice to leave."""
         self.accepting = gevent.spawn(self._accept)
@@ -56,6 +68,10 @@
                 if len(self.connections) >= self.most and not self.make_room():
                     gevent.sleep(FULL_S)
                     continue
+                wait = 0.0 if self.pace is None else self.pace.wait(self.board.warmth, unix_ms())
+                if wait > 0.0:
+                    gevent.sleep(wait / 1000.0)
+                    continue
                 sock, _ = self.listener.accept()
             except OSError as error:
                 if self.board.shut or error.errno == errno.EBADF:
@@ -129,6 +145,8 @@
     def sweep(self, now: float) -> None:
         """Closes what is stuck or never whole, and asks callers to close what idles longer than the module
         allows."""
+        if self.pace is not None:
+            self._pace(self.pace)
         passed, self.swept = min(PASSED_MS, max(0.0, now - self.swept)), now
         for connection in list(self.connections):
             connection.look(passed)
@@ -140,6 +158,13 @@
             elif now - connection.away_at > AWAY_MS:
                 connection.close(End.LEFT)
 
+    def _pace(self, pace: Pace) -> None:
+        pace.beat(self.board.late)
+        held, pace.held_back = pace.held_back, 0
+        if held:
+            logger.info("connections come faster than they are accepted: {} a second at the most",
+                        round(pace.per_second(self.board.warmth)))
+
     def shut(self) -> None:
         """No new connection, and no new exchange on those that stand. What the machine has accepted already
         is ours: it is taken off the listener before that closes, lest it be reset."""
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -382,7 +382,7 @@
             self.held -= 1
         self._step(c, word)
 
-    def _warmth(self) -> float:
+    def warmth(self) -> float:
         if self.cold_from >= 1.0:
             return 1.0
         warmed = (self.now - self.born) / max(1.0, self.warm_within)
@@ -390,7 +390,7 @@
 
     def _ceiling(self) -> float:
         """The crowd this backend survives, ramped evenly from the cold one."""
-        return max(1.0, (1.0 + (self.crowd_warm - 1.0) * self._warmth()) * self.cores)
+        return max(1.0, (1.0 + (self.crowd_warm - 1.0) * self.warmth()) * self.cores)
 
     def _room(self) -> float:
         return max(1.0, min(self.limit, self._ceiling()))
@@ -437,7 +437,7 @@
         alone = max(1.0, took - c.below_ms)  # calls are the dependency's time
         expected = g.usual * g.weigh_hint(c.ex.work_hint)
         self.done += expected
-        new = self._warmth() < 1.0 or g.runs < 10  # the first to finish are the short ones
+        new = self.warmth() < 1.0 or g.runs < 10  # the first to finish are the short ones
         if not new:
             self.slowness += 0.07 * (min(10.0, alone / expected) - self.slowness)
         if new or self.slowness < SLOW:
@@ -590,7 +590,7 @@
             self.clogged, self.waits = self.reading < self.waits / 3.0 < 1e9 and not crowded, NEVER
             self.useless, self.starts = self.clogged and self.starts == 0, 0
         hung = bool(runs) and self.now - self.last_end > 10.0 * BEAT
-        slow = (self.reading < self.waits / 1.5 < 1e9 or hung) and self.owed > SICK and self._warmth() >= 1.0
+        slow = (self.reading < self.waits / 1.5 < 1e9 or hung) and self.owed > SICK and self.warmth() >= 1.0
         if self.sick_until <= 0.0 and (slow or self.useless or (self.clogged and self.sick_ms > SICK_MS)):
             self.sick_until, self.sick_ms = self.now + self.sick_ms, min(4.0 * SICK_MS, 2.0 * self.sick_ms)
             self.slowness, self.ends = max(self.slowness, SLOW), 0
@@ -639,7 +639,7 @@
             self.open_to, self.peak = min(self.open_to, 2.0 + in_hand), 0
         # Reading costs a cold backend several times as much: it asks for its part of the traffic only.
         least = self.open_at_least * (STORM_CREDIT if self.storm and self.meaning is Meaning.CREDIT else 1.0)
-        self.open_to = max(least, min(self.open_at_most * self._warmth(), self.open_to))
+        self.open_to = max(least, min(self.open_at_most * self.warmth(), self.open_to))
         value = 0.0 if self.now > self.until else self.open_to
         if self.meaning is Meaning.LEVEL:
             value = 1.0 - value
--- a/myrtlecrank/operators/sections.py
+++ b/myrtlecrank/operators/sections.py
@@ -8,7 +8,6 @@
 import math
 from collections.abc import Mapping
 from dataclasses import Field, field, fields
-from difflib import get_close_matches
 from typing import Any, TypeVar
 
 Section = TypeVar("Section")
@@ -22,6 +21,8 @@
 
 def nearest(name: str, known: list[str]) -> str:
     """The end of a message on an unknown name."""
+    from difflib import get_close_matches  # only for mistakes: it costs a start some ms
+
     close = get_close_matches(name, known, n=1, cutoff=0.5)
     return f"; is {close[0]!r} meant?" if close else f"; known: {', '.join(sorted(known))}"
 
--- a/myrtlecrank/repeats/decide.py
+++ b/myrtlecrank/repeats/decide.py
@@ -30,7 +30,7 @@
 
     share: float | None  # of arrivals of late that are likely repeats; None: too little was seen
     storm: bool
-    deaf: int  # callers that heed nothing
+    deaf: int  # callers that heed nothing; counted in a storm only
 
 
 class Repeats:
@@ -138,4 +138,4 @@
             self.crossed = now
         elif now - self.crossed >= (bounds.end_ms if self.storm else bounds.begin_ms):
             self.storm, self.crossed = not self.storm, now
-        return Tide(share, self.storm, self.heeding.deaf())
+        return Tide(share, self.storm, self.heeding.deaf() if self.storm else 0)
--- a/myrtlecrank/repeats/patience.py
+++ b/myrtlecrank/repeats/patience.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 from array import array
-from heapq import nlargest
 
 WIDE = 2.0  # ms in a bin
 REACH = 2  # bins on either side that belong to a peak: times are told in whole ms
 FLANK = 10  # bins on either side that a peak must stand out from
 HEIGHT = 4.0  # times the mean of its flanks
 MASS = 0.12  # of all that came, for a peak
+MIDDLE = MASS / (2 * REACH + 1)  # of all that came, at the least in the middle of a peak
 MOST = 4096  # bins
 EARLY, LATE = 0.97, 1.12  # of the time waited for a first try, when the next is sent
 SLICE = 512  # arrivals after which what is older counts half
@@ -29,6 +29,7 @@
         self.bins = array("f", bytes(4 * MOST))
         self.total, self.since = 0.0, 0
         self.peaks: list[int] = []
+        self.high: set[int] = set()  # bins that may be the middle of a peak
 
     def waited(self, age: float) -> bool:
         """Whether a try of that age comes just after a first try that was waited for in vain."""
@@ -40,6 +41,8 @@
         self.bins[at] += 1.0
         self.total += 1.0
         self.since += 1
+        if self.bins[at] >= MIDDLE * self.total:
+            self.high.add(at)
         if self.since >= SLICE or (self.total < SLICE and self.since % 32 == 0):
             self._learn()
         return any(abs(at - peak) <= REACH for peak in self.peaks)
@@ -54,9 +57,9 @@
 
     def _learn(self) -> None:
         found: list[int] = []
-        order = nlargest(8, range(MOST), key=self.bins.__getitem__)
-        for at in order:
-            if not self.bins[at] or any(abs(at - peak) <= 2 * REACH for peak in found):
+        self.high = {at for at in self.high if self.bins[at] >= MIDDLE * self.total}
+        for at in sorted(self.high, key=self.bins.__getitem__, reverse=True):
+            if any(abs(at - peak) <= 2 * REACH for peak in found):
                 continue
             flanks = [
                 self.bins[i]
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -64,7 +64,7 @@
     def spawn(work: Callable[[], object]) -> None:
         gevent.spawn(actor, work)
 
-    front = Front(orders.listen, orders.sockets, core, spawn)
+    front = Front(orders.listen, orders.sockets, core, spawn, operators.accepting)
 
     def watch_leaving() -> None:
         core_shut.wait()
@@ -93,6 +93,7 @@
         if unlike:
             logger.info("operators' file read: changed are {}", ", ".join(unlike))
             core.mailbox.post(Adopt(told.repeats))
+            front.adopt(told.accepting)
         held[0] = told
 
     def reload_orders() -> None:
--- a/myrtlecrank/subsystems.py
+++ b/myrtlecrank/subsystems.py
@@ -4,11 +4,15 @@
 
 from dataclasses import dataclass, fields
 
+from myrtlecrank.edge import pace
 from myrtlecrank.operators.file import Sections, find
 from myrtlecrank.operators.file import load as load_sections
 from myrtlecrank.repeats import bounds as repeats
 
-SECTIONS: Sections = {"repeats": (repeats.Bounds, repeats.contradictions)}
+SECTIONS: Sections = {
+    "repeats": (repeats.Bounds, repeats.contradictions),
+    "accepting": (pace.Accepting, pace.contradictions),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +21,7 @@
 
     path: str | None = None
     repeats: repeats.Bounds | None = None
+    accepting: pace.Accepting | None = None
 
     def unlike(self, other: Operators) -> list[str]:
         """The sections that differ there."""
