--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -17,7 +17,7 @@
 from rig.experiments import EXPERIMENTS, Play, play, scene_of
 
 NAME = click.argument("name", type=click.Choice(list(EXPERIMENTS)))
-SUBSYSTEMS = click.Choice(["repeats"])
+SUBSYSTEMS = click.Choice(["repeats", "accepting"])
 CHANGES = [
     click.option("--load", type=click.FloatRange(0.05, 2.0), help="Work asked for over the cores."),
     click.option("--deaf", type=click.FloatRange(0.0, 1.0), help="Part of the callers that heed nothing."),
@@ -70,7 +70,7 @@
     name: str, seed: int, off: str | None, real: bool, quick: bool, out: Path | None, **changes: Any
 ) -> None:
     """Plays one experiment once. The last line on standard output is a JSON object."""
-    scene = scene_of(name, off == "repeats", quick, **changes)
+    scene = scene_of(name, off, quick, **changes)
     with Progress(console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task(name, total=1.0)
         one = play(name, seed, scene, lambda done: bar.update(task, completed=done), real)
@@ -83,10 +83,10 @@
     _end([one.line()], [one] if any(one.rules.values()) else [])
 
 
-def _job(job: tuple[str, str, int, dict[str, Any], bool]) -> tuple[str, Play]:
+def _job(job: tuple[str, str, str, int, dict[str, Any], bool]) -> tuple[str, Play]:
     logger.remove()
-    side, name, seed, changes, quick = job
-    return side, play(name, seed, scene_of(name, side == "off", quick, **changes))
+    side, off, name, seed, changes, quick = job
+    return side, play(name, seed, scene_of(name, off if side == "off" else None, quick, **changes))
 
 
 @main.command()
@@ -106,7 +106,7 @@
     """Plays with and without a subsystem, turn about, on the same seeds."""
     from rig.results import keep, summary, table
 
-    work = [(side, name, seed, changes, quick) for seed in range(1, seeds + 1) for side in ("on", "off")]
+    work = [(side, off, name, seed, changes, quick) for seed in range(1, seeds + 1) for side in ("on", "off")]
     plays: list[tuple[str, Play]] = []
     with ProcessPoolExecutor(jobs) as pool, Progress(console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task(name, total=len(work))
--- a/rig/experiments.py
+++ b/rig/experiments.py
@@ -22,6 +22,7 @@
     what: str
     scene: Scene
     storm: bool = True  # something is killed: there is a recovery
+    real: bool = False  # has a meaning on sockets only
 
 
 EXPERIMENTS = {
@@ -39,6 +40,11 @@
         "as storm-deaf, the deaf callers wait a second for each try and so hide their repeats",
         Scene(killed=0.2, deaf=0.6, deaf_habits=Habits(deaf=True, patience=1000.0)),
     ),
+    "reconnect": Experiment(
+        "as storm, and 400 connections come at one instant to each backend that is back (real processes)",
+        Scene(killed=0.2, crowd=400),
+        real=True,
+    ),
     "calm": Experiment("nothing happens; callers heed", CALM, storm=False),
     "coach-party": Experiment(
         "bursts of 1.6 times the load, half for five popular subjects; callers heed, nothing is killed",
@@ -73,7 +79,7 @@
         }
 
 
-def scene_of(name: str, off: bool = False, quick: bool = False, **changes: Any) -> Scene:
+def scene_of(name: str, off: str | None = None, quick: bool = False, **changes: Any) -> Scene:
     scene = EXPERIMENTS[name].scene
     if quick:
         scene = replace(
@@ -85,7 +91,8 @@
         if scene.killed:
             scene = replace(scene, killed=0.4)
     scene = replace(scene, **{key: value for key, value in changes.items() if value is not None})
-    return replace(scene, repeats=None) if off else scene
+    without: dict[str, Any] = {off: None} if off else {}
+    return replace(scene, **without)
 
 
 def could(scene: Scene) -> float:
@@ -108,6 +115,7 @@
     """On the virtual clock, or with real processes on loopback."""
     began = time.perf_counter()
     fleet: Fleet
+    real = real or EXPERIMENTS[name].real
     if real:
         from rig.sockets.fleet import RealFleet  # gevent and processes: only where they are wanted
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -10,6 +10,7 @@
 
 from myrtlecrank import port
 from myrtlecrank.core.actor import Core
+from myrtlecrank.edge.pace import Accepting
 from myrtlecrank.repeats.bounds import Bounds
 from rig.backend import Backend
 from rig.callers import Caller, Habits, Try, Wish
@@ -18,7 +19,7 @@
 from rig.rules import Rules
 from rig.stand import Stand
 
-BUILD, HEEDING, DEAF, BOUNDS = Build(), Habits(), Habits(deaf=True), Bounds()
+BUILD, HEEDING, DEAF, BOUNDS, ACCEPTING = Build(), Habits(), Habits(deaf=True), Bounds(), Accepting()
 
 
 @dataclass(frozen=True)
@@ -61,6 +62,8 @@
     deaf_habits: Habits = DEAF
     replace_in_ms: float = 500.0
     repeats: Bounds | None = BOUNDS  # None: the program without its estimate
+    accepting: Accepting | None = ACCEPTING  # None: connections are accepted as they come
+    crowd: int = 0  # connections that come at one instant when a backend is back; real processes only
 
     @property
     def kill_at(self) -> float:
--- a/rig/results.py
+++ b/rig/results.py
@@ -30,6 +30,10 @@
     "cpu_ms_per_exchange",
     "peak_mb",
     "rig_late_ms",
+    "checks",
+    "checks_lost",
+    "check_p50_ms",
+    "check_p99_ms",
 )
 
 
--- a/rig/sockets/fleet.py
+++ b/rig/sockets/fleet.py
@@ -13,6 +13,7 @@
 
 from rig.fleet import Fleet, Scene
 from rig.sockets.clock import RealClock
+from rig.sockets.crowd import Crowd
 from rig.sockets.process import Process, free_port
 from rig.stand import Stand
 
@@ -77,6 +78,7 @@
         self.operators = self.folder / "operators.toml"
         self.operators.write_text(_operators(scene))
         self.gone: list[Process] = []
+        self.crowd = Crowd(seed)
         self.members = Members(self)
         self.ports = [("127.0.0.1", free_port()) for _ in range(scene.backends)]
         self.real = RealClock()
@@ -105,6 +107,16 @@
             self.operators,
         )
 
+    def revive(self, number: int) -> None:
+        super().revive(number)
+        one = self.backends[number]
+        if self.scene.crowd and isinstance(one, Process):
+            gevent.spawn(self._crowd, one)
+
+    def _crowd(self, one: Process) -> None:
+        one.wait_up()
+        self.crowd.come(one.listen, self.scene.crowd)
+
     def tell(self, number: int, on: bool) -> None:
         self._tell_list(number, on)
 
@@ -144,6 +156,7 @@
             "cpu_ms_per_exchange": round(1000.0 * cpu / max(1, read), 3),
             "peak_mb": round(max(one.peak_mb for one in self.processes()), 1),
             "rig_late_ms": round(self.real.lateness_ms(), 2),
+            **self.crowd.figures(),
         }
 
     def incomplete(self) -> str | None:
@@ -152,8 +165,12 @@
 
 
 def _operators(scene: Scene) -> str:
-    bounds = scene.repeats
-    if bounds is None:
-        return "[repeats]\non = false\n"
-    rows = [(one.name, getattr(bounds, one.name)) for one in fields(bounds)]
-    return "[repeats]\n" + "".join(f"{name} = {str(value).lower()}\n" for name, value in rows)
+    text = ""
+    for section, bounds in (("repeats", scene.repeats), ("accepting", scene.accepting)):
+        text += f"[{section}]\n"
+        if bounds is None:
+            text += "on = false\n"
+            continue
+        for one in fields(bounds):
+            text += f"{one.name} = {str(getattr(bounds, one.name)).lower()}\n"
+    return text
