--- a/myrtlecrank/repeats/given.py
+++ b/myrtlecrank/repeats/given.py
@@ -71,17 +71,15 @@
     def arrived(self, digest: int) -> bool:
         """Whether it is likely the repeat of something given up here: each given up comes again once."""
         now, before = self.now, self.before
-        given = _times(now.given, digest) + _times(before.given, digest)
-        back = _times(now.back, digest) + _times(before.back, digest)
-        seen = digest in now.seen or digest in before.seen
-        popular = digest in now.popular or digest in before.popular
-        if seen and back >= given and not popular:
-            now.popular.add(digest)
-            popular = True
-        if not seen:
+        if not (digest in now.seen or digest in before.seen):
             now.seen.add(digest)
             now.count += 1
-        if back >= given or popular:
+            return False
+        if digest in now.popular or digest in before.popular:
+            return False
+        given = _times(now.given, digest) + _times(before.given, digest)
+        if _times(now.back, digest) + _times(before.back, digest) >= given:
+            now.popular.add(digest)
             return False
         self._add(now.back, digest)
         return True
--- a/rig/charts.py
+++ b/rig/charts.py
@@ -24,7 +24,7 @@
     return rows
 
 
-def storm(plays: Sequence[tuple[str, dict[str, Any]]], title: str, file: Path) -> None:
+def storm(plays: Sequence[tuple[str, dict[str, Any]]], scene: dict[str, Any], title: str, file: Path) -> None:
     """`plays`: on or off, and a result as it was kept. Service by the second and tries for a first try."""
     figure, (above, below) = plt.subplots(2, 1, figsize=(9, 6), sharex=True, constrained_layout=True)
     for side in ("off", "on"):
@@ -49,7 +49,6 @@
                 alpha=faint,
                 lw=1,
             )
-    scene = plays[0][1]["parameters"]
     if scene["killed"]:
         for axis in (above, below):
             axis.axvspan(
--- a/rig/results.py
+++ b/rig/results.py
@@ -90,13 +90,21 @@
 
     folder.mkdir(parents=True, exist_ok=True)
     rows = [{"side": side, **asdict(p)} for side, p in plays]
+    parameters = rows[0]["parameters"]
     for row in rows:
+        del row["parameters"]  # the same for all, but for what the one side is without
         for name, series in row["series"].items():
             row["series"][name] = [round(value, 2) for value in series]
-    kept = {"title": title, "versions": versions(), "summary": summary(plays), "plays": rows}
+    kept = {
+        "title": title,
+        "versions": versions(),
+        "summary": summary(plays),
+        "parameters": parameters,
+        "plays": rows,
+    }
     (folder / "result.json").write_text(json.dumps(kept, separators=(",", ":")) + "\n")
     (folder / "table.md").write_text(f"# {title}\n\n{table(plays)}")
-    charts.storm([(row["side"], row) for row in rows], title, folder / "chart.png")
+    charts.storm([(row["side"], row) for row in rows], parameters, title, folder / "chart.png")
 
 
 def again(folder: Path) -> Path:
@@ -104,5 +112,6 @@
     from rig import charts
 
     kept = json.loads((folder / "result.json").read_text())
-    charts.storm([(row["side"], row) for row in kept["plays"]], kept["title"], folder / "chart.png")
+    plays = [(row["side"], row) for row in kept["plays"]]
+    charts.storm(plays, kept["parameters"], kept["title"], folder / "chart.png")
     return folder / "chart.png"
