--- a/myrtlecrank/repeats/callers.py
+++ b/myrtlecrank/repeats/callers.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 
+STEP_MS = 50.0  # between two fadings of what is known of a caller: each costs a power
 SHARE = 0.25  # of what a caller brings, soon repeats from which it counts as deaf
 
 
@@ -55,8 +56,9 @@
             told = self.told[caller] = Told(now)
         else:
             self.told.move_to_end(caller)
-        passed = max(0.0, now - told.seen)
-        if passed:
+        passed = now - told.seen
+        if passed >= STEP_MS or passed < 0.0:
+            passed = max(0.0, passed)
             fade = 0.5 ** (passed / self.half)
             told.breaches *= fade
             told.came *= fade
--- a/myrtlecrank/repeats/decide.py
+++ b/myrtlecrank/repeats/decide.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from myrtlecrank.repeats.bounds import Bounds
-from myrtlecrank.repeats.callers import Heeding
+from myrtlecrank.repeats.callers import STEP_MS, Heeding
 from myrtlecrank.repeats.given import GivenUp
 from myrtlecrank.repeats.patience import Patience
 
@@ -55,6 +55,8 @@
 
     def _pass(self, now: float) -> None:
         """The clock may step back; what was counted then only fades later."""
+        if self.now <= now < self.now + STEP_MS:
+            return
         if now > self.now:
             fade = 0.5 ** ((now - self.now) / SHARE_MS)
             self.arrivals *= fade
