--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -14,6 +14,7 @@
 from myrtlecrank.core.ends import End
 from myrtlecrank.core.letters import Answer, Arrived, CallersLeft, Leave, Verdict
 from myrtlecrank.edge.front import SPARE_SOCKETS, Front
+from myrtlecrank.edge.pace import Accepting
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring import Ring
 from myrtlecrank.port import Tenant
@@ -271,6 +272,31 @@
         assert len(door.tickets(1)) == 1
 
 
+def test_a_crowd_is_accepted_at_a_pace_and_every_health_check_in_it_is_answered(door: Door) -> None:
+    door.front.adopt(Accepting(per_second=500.0, cold_per_second=100.0, burst=4))
+    assert door.front.pace is not None
+    accepting = gevent.spawn(door.front.run)
+    address = door.front.listener.getsockname()
+    crowd = [socket.create_connection(address, timeout=WAIT_S) for _ in range(40)]
+    for sock in crowd:
+        sock.sendall(codec.framed(codec.CHECK, 1, b"\0"))
+    assert [read(sock)[0] for sock in crowd] == [codec.CHECKED] * 40
+    assert door.front.pace.held_back > 0
+    accepting.kill()
+
+
+def test_a_pace_that_is_turned_off_holds_nobody_back(door: Door) -> None:
+    door.front.adopt(Accepting(per_second=10.0, cold_per_second=10.0, burst=1))
+    door.front.adopt(None)
+    accepting = gevent.spawn(door.front.run)
+    address = door.front.listener.getsockname()
+    crowd = [socket.create_connection(address, timeout=WAIT_S) for _ in range(20)]
+    for sock in crowd:
+        sock.sendall(codec.framed(codec.CHECK, 1, b"\0"))
+    assert [read(sock)[0] for sock in crowd] == [codec.CHECKED] * 20
+    accepting.kill()
+
+
 def list_stand_in(listener: Any, heard: list[bytes], replies: list[bytes]) -> None:
     for reply in replies:
         sock, _ = listener.accept()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -275,3 +275,35 @@
     done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
                           capture_output=True, text=True, timeout=60)
     assert done.returncode == 70 and "RuntimeError: boom" in done.stderr
+
+
+def test_the_operators_file_is_taken_over_on_sighup_whole_or_not_at_all(tmp_path: Path) -> None:
+    config, operators = tmp_path / "config.json", tmp_path / "operators.toml"
+    config.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address())) | {"stop_ms": 300}))
+    operators.write_text("[repeats]\non = true\n")
+    command = [sys.executable, "-m", "myrtlecrank", "serve", str(config), "--operators", str(operators)]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    assert process.stderr is not None
+
+    def heard(text: str) -> bool:
+        """Reads the log up to a line with the text; False at its end."""
+        assert process.stderr is not None
+        return any(text in line for line in process.stderr)
+
+    try:
+        assert heard("on are repeats")
+        for written, line in (
+            ("[repeats]\non = false\n[accepting]\non = true\n", "changed are repeats, accepting"),
+            ("[repeats]\nstorm_form = 0.3\n", "the old operators' file goes on"),
+            ("[repeats]\non = true\nstorm_from = 0.5\n", "changed are repeats, accepting"),
+        ):
+            operators.write_text(written)
+            process.send_signal(signal.SIGHUP)
+            assert heard(line)
+        process.send_signal(signal.SIGTERM)
+        assert heard("leaves with 0 exchanges")
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+        process.stderr.close()
+        process.wait()
