--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -83,10 +83,11 @@
     _end([one.line()], [one] if any(one.rules.values()) else [])
 
 
-def _job(job: tuple[str, str, str, int, dict[str, Any], bool]) -> tuple[str, Play]:
+def _job(job: tuple[str, str, str, int, dict[str, Any], bool, bool]) -> tuple[str, Play]:
     logger.remove()
-    side, off, name, seed, changes, quick = job
-    return side, play(name, seed, scene_of(name, off if side == "off" else None, quick, **changes))
+    side, off, name, seed, changes, quick, real = job
+    scene = scene_of(name, off if side == "off" else None, quick, **changes)
+    return side, play(name, seed, scene, real=real)
 
 
 @main.command()
@@ -98,15 +99,20 @@
 @click.option(
     "--jobs", type=click.IntRange(1, 64), default=max(1, (os.cpu_count() or 2) - 1), show_default=True
 )
+@click.option("--real", is_flag=True, help="With real processes, in real time: few jobs, or they disturb.")
 @changed
 @OUT
 def compare(
-    name: str, off: str, seeds: int, jobs: int, quick: bool, out: Path | None, **changes: Any
+    name: str, off: str, seeds: int, jobs: int, real: bool, quick: bool, out: Path | None, **changes: Any
 ) -> None:
     """Plays with and without a subsystem, turn about, on the same seeds."""
     from rig.results import keep, summary, table
 
-    work = [(side, off, name, seed, changes, quick) for seed in range(1, seeds + 1) for side in ("on", "off")]
+    work = [
+        (side, off, name, seed, changes, quick, real)
+        for seed in range(1, seeds + 1)
+        for side in ("on", "off")
+    ]
     plays: list[tuple[str, Play]] = []
     with ProcessPoolExecutor(jobs) as pool, Progress(console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task(name, total=len(work))
@@ -117,11 +123,15 @@
     click.echo(table(plays), err=True)
     said = ", ".join(f"{key} {value:g}" for key, value in changes.items() if value is not None)
     if out is not None:
-        keep(
-            plays, out, f"{name}{', ' + said if said else ''}: {off} on and off, {seeds} seeds, virtual clock"
-        )
+        where = "real processes" if real else "virtual clock"
+        keep(plays, out, f"{name}{', ' + said if said else ''}: {off} on and off, {seeds} seeds, {where}")
     broken = [p for side, p in plays if any(p.rules.values()) and side == "on"]
-    _end([{"experiment": name, "seeds": seeds, "summary": summary(plays)}], broken)
+    found = summary(plays)
+    line: dict[str, Any] = {"experiment": name, "seeds": seeds, "summary": found}
+    if real:
+        cpu = [found[side]["cpu_ms_per_exchange"]["mean"] for side in ("on", "off")]
+        line["cpu_ratio"] = round(cpu[0] / cpu[1], 3)
+    _end([line], broken)
 
 
 @main.command()
