In a storm callers that heed are held as well while their turn comes in time

Need: those that heed must not pay for those that don't, and a full hold costs more than it sheds. Change: while a storm is on the hold takes whoever has a turn within 0.8 of the SLO time, on any number of cores.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -356,8 +356,10 @@
         # One size for all groups, or the hasty starve
         if self._wait() <= min(HOLD_MOST, share) * self.shortest_slo:
             return False
-        if self.storm and c.ex.deaf and self.now + self._wait() <= self._last_use(c):
-            return False  # its turn will come in time
+        # In a storm a full hold costs more than it sheds: who has a turn in time stays.
+        turn = self._last_use(c) if c.ex.deaf else c.reached + HOLD_MOST * c.group.slo
+        if self.storm and self.now + self._wait() <= turn:
+            return False
         # The hold is full: of the arrival and all held, the one of least value is turned away.
         lines = [g.line for g in self.groups if g.line]
         least = min((min(line, key=self._worth) for line in lines), key=self._worth)
--- a/rig/sockets/fleet.py
+++ b/rig/sockets/fleet.py
@@ -14,7 +14,7 @@
 from rig.fleet import Fleet, Scene
 from rig.sockets.clock import RealClock
 from rig.sockets.crowd import Crowd
-from rig.sockets.process import Process, free_port
+from rig.sockets.process import Process, free_address
 from rig.stand import Stand
 
 LATE_MS = 25.0  # the rig itself: past that its figures say nothing
@@ -80,7 +80,7 @@
         self.gone: list[Process] = []
         self.crowd = Crowd(seed)
         self.members = Members(self)
-        self.ports = [("127.0.0.1", free_port()) for _ in range(scene.backends)]
+        self.ports = [free_address(number) for number in range(scene.backends)]
         self.real = RealClock()
         super().__init__(scene, seed, clock=self.real)
 
--- a/rig/sockets/process.py
+++ b/rig/sockets/process.py
@@ -32,10 +32,13 @@
 GAUGES = ("core_use", "on_cores", "heap_share", "links")
 
 
-def free_port() -> int:
+def free_address(number: int) -> tuple[str, int]:
+    """On a loopback address of our own, which no outgoing connection takes its port from meanwhile."""
+    pid = os.getpid()
+    host = f"127.{64 + pid % 64}.{pid // 64 % 250}.{number % 250 + 1}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+        probe.bind((host, 0))
+        return host, int(probe.getsockname()[1])
 
 
 def settings(facts: port.StartFacts) -> dict[str, Any]:
--- a/tests/test_logic_storm.py
+++ b/tests/test_logic_storm.py
@@ -109,3 +109,14 @@
     for at in range(2, 50):
         controller.settle(at * 100.0)
     assert all(len(answers(ops, ex)) == 1 for ex in many)
+
+
+def test_in_a_storm_the_hold_is_as_long_as_its_turns_come_in_time_for_those_that_heed_too() -> None:
+    calm, _ = stormy(False, cores=4)
+    storm, ops = stormy(cores=4)
+    for controller in (calm, storm):
+        fill(controller, 60)
+    assert storm.held > calm.held
+    assert storm._wait() <= 0.8 * 1000.0
+    refused = [op for op in ops if isinstance(op, Deny)]
+    assert len(refused) == 60 - storm.held - len(storm.running)
