--- a/myrtlecrank/repeats/patience.py
+++ b/myrtlecrank/repeats/patience.py
@@ -47,11 +47,6 @@
             self._learn()
         return any(abs(at - peak) <= REACH for peak in self.peaks)
 
-    def share(self, left: float) -> float:
-        """The part of all arrivals that came within reach of this time left."""
-        at = min(MOST - 1, max(0, int(left / self.wide)))
-        return self._mass(at) / max(1.0, self.total)
-
     def _mass(self, at: int) -> float:
         return sum(self.bins[max(0, at - REACH) : at + REACH + 1])
 
--- a/rig/callers.py
+++ b/rig/callers.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from rig.machine import Do, Time
+from rig.machine import Time
 
 
 class Said(Enum):
@@ -36,7 +36,6 @@
     slo: float
     due: float
     benefit: float
-    repeats: int = 0  # others' copies of the same subject, as a popular stop asked by a whole party
     tries: int = 0
     served_at: float | None = None
     over: bool = False
@@ -202,5 +201,3 @@
 def said_of(verdict: Any) -> Said:
     return Said[verdict.name]
 
-
-__all__ = ["Caller", "Do", "Habits", "Net", "Said", "Try", "Wish", "said_of"]
