The size of the filters counts all four; the hold's wait is taken once for an arrival

Told in ROADMAP and left: a credit below one is compared with its floor, and recovery is the mean service of 3 s.

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -27,8 +27,7 @@
 RATE_MS, RATE_EVENTS = 3000.0, 6.0  # over which a tenant's rate is measured: longer where few may come
 HOLD_LEAST, HOLD_READING, HOLD_CALM = 0.5, 3.0, 1.6  # longest wait in the hold, per SLO time, times cores
 HOLD_MOST = 0.8  # per SLO time, on any number of cores
-# In a storm: ms from a denial to the next try; least work a run counts as; value of what is too late; least
-# credit
+# In a storm: ms from a denial to the next try, least work a run counts as, value of the late, least credit
 AGAIN_MS, LEAST_WORK, LATE_VALUE, STORM_CREDIT = 20.0, 0.3, 0.05, 0.5
 STRAIN = 0.15  # wait per SLO time at which the published value neither rises nor falls
 PUBLISH_BEATS = 3
@@ -354,12 +353,14 @@
         if not (self.held and self._cpu() > REFUSE_CPU):
             share *= HOLD_CALM
         # One size for all groups, or the hasty starve
-        if self._wait() <= min(HOLD_MOST, share) * self.shortest_slo:
-            return False
-        # In a storm a full hold costs more than it sheds: who has a turn in time stays.
-        turn = self._last_use(c) if c.ex.deaf else c.reached + HOLD_MOST * c.group.slo
-        if self.storm and self.now + self._wait() <= turn:
+        wait = self._wait()
+        if wait <= min(HOLD_MOST, share) * self.shortest_slo:
             return False
+        if self.storm:
+            # A full hold costs more than it sheds: who has a turn in time stays.
+            turn = self._last_use(c) if c.ex.deaf else c.reached + HOLD_MOST * c.group.slo
+            if self.now + wait <= turn:
+                return False
         # The hold is full: of the arrival and all held, the one of least value is turned away.
         lines = [g.line for g in self.groups if g.line]
         least = min((min(line, key=self._worth) for line in lines), key=self._worth)
--- a/myrtlecrank/repeats/given.py
+++ b/myrtlecrank/repeats/given.py
@@ -95,7 +95,4 @@
 
     @property
     def bytes(self) -> int:
-        return (
-            sum(int(f.size_in_bits) for s in (self.now, self.before) for f in (s.seen, s.given, s.popular))
-            // 8
-        )
+        return sum(int(f.size_in_bits) for s in (self.now, self.before) for f in s.filters) // 8
--- a/rig/callers.py
+++ b/rig/callers.py
@@ -200,4 +200,3 @@
 
 def said_of(verdict: Any) -> Said:
     return Said[verdict.name]
-
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -181,7 +181,7 @@
 
     # The list
 
-    def _tell_list(self, number: int, on: bool) -> None:
+    def tell_list(self, number: int, on: bool) -> None:
         self.listed_at[number].append((self.clock.now, on))
 
     def listed(self, caller: Caller) -> list[int]:
@@ -212,7 +212,7 @@
             self.rules,
             cold,
             self.scene.stop_ms,
-            self._tell_list,
+            self.tell_list,
             self.scene.repeats,
             self.with_core,
             self._read,
@@ -228,14 +228,14 @@
 
         def lapse() -> None:
             if not self.backends[number].alive:
-                self._tell_list(number, False)
+                self.tell_list(number, False)
 
         self.clock.at(at, lapse)
 
     def revive(self, number: int) -> None:
         if not self.backends[number].alive:
             self.backends[number] = self._start(number, cold=True)
-            self._tell_list(number, True)
+            self.tell_list(number, True)
 
     def replace(self, number: int) -> None:
         """As a rolling deploy does: notice, stop, a cold successor."""
@@ -252,13 +252,12 @@
         pace = scene.per_second() / 1000.0
         weights = [g.share for g in scene.groups]
         arrivals = random.Random(f"load {self.seed}")
-        sigma = [(1.0 + g.cv**2) for g in scene.groups]
+        sigma = [sqrt(log(1.0 + g.cv**2)) for g in scene.groups]
 
         def one() -> None:
             now = self.clock.now
             group = arrivals.choices(range(len(scene.groups)), weights)[0]
-
-            s = sqrt(log(sigma[group]))
+            s = sigma[group]
             work = scene.groups[group].work * arrivals.lognormvariate(-s * s / 2.0, s)
             caller = self.callers[arrivals.randrange(scene.callers)]
             number = len(self.wishes)
--- a/rig/sockets/fleet.py
+++ b/rig/sockets/fleet.py
@@ -69,7 +69,7 @@
         fleet = self.fleet
         self.heard[number] = fleet.clock.now
         if number < len(fleet.backends) and fleet.listed_at[number][-1][1] != on:
-            fleet.tell(number, on)
+            fleet.tell_list(number, on)
 
 
 class RealFleet(Fleet):
@@ -99,7 +99,7 @@
             self.rules,
             cold,
             scene.stop_ms,
-            self.tell,
+            self.tell_list,
             self._read,
             self.members.address,
             self.ports[number],
@@ -117,9 +117,6 @@
         one.wait_up()
         self.crowd.come(one.listen, self.scene.crowd)
 
-    def tell(self, number: int, on: bool) -> None:
-        self._tell_list(number, on)
-
     def play(self) -> None:
         try:
             for one in self.backends:
