Members of a fleet talk: links, actors, [fleet] of the operators' file, real processes judged from outside

Need: the decisions of members, register and owners stood without processes that use them. Section [fleet] with tables of members and duties, cross-checked; imported only where it stands.

--- /dev/null
+++ b/myrtlecrank/fleet/actor.py
@@ -0,0 +1,274 @@
+"""The actors of the fleet in one process: the member, its voter where it is one, and the links."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import gevent
+from gevent import get_hub
+from loguru import logger
+
+from myrtlecrank.core.mailbox import Mailbox
+from myrtlecrank.fleet.bounds import Bounds, address
+from myrtlecrank.fleet.decide import Effect, Fleet, Plan, Work
+from myrtlecrank.fleet.effects import Receiver
+from myrtlecrank.fleet.links import Links
+from myrtlecrank.fleet.members.decide import Pace
+from myrtlecrank.fleet.members.words import Rumour, State
+from myrtlecrank.fleet.owner.decide import Terms, member_of
+from myrtlecrank.fleet.register.decide import Voter
+from myrtlecrank.fleet.register.disk import Disk, TornError, encode
+from myrtlecrank.fleet.register.words import Accept, Glance, Known, Memory, Prepare, Rejoin
+from myrtlecrank.fleet.words import Asked, Message, Report, Row, StepDown, Tell, Voted
+
+MAILBOX = 4096
+REJOIN_MS = 500.0
+FORGET_MS = 3_600_000.0
+WARM = 0.5  # of the machine: below it no duty is taken
+
+
+def mono_ms() -> float:
+    """Runs on while the process is stopped and while the machine sleeps, and is never stepped."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
+
+
+def plan_of(bounds: Bounds) -> Plan:
+    pace = Pace(bounds.probe_ms, bounds.probe_reply_ms, bounds.helpers, bounds.suspect_ms, FORGET_MS,
+                10.0 * bounds.probe_ms)
+    duties = bounds.duties.items()
+    works = tuple(Work(name, one.every_ms, one.deadline_ms, one.back_off_ms) for name, one in duties)
+    terms = Terms.of(bounds.lease_ms, bounds.drift, bounds.lease_ms / 4.0)
+    return Plan(bounds.voters, works, terms, pace, bounds.reply_ms, bounds.even_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    sender: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Did:
+    effect: Effect
+    taken: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Feel:
+    fit: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Depart:
+    pass
+
+
+Letter = Heard | Did | Feel | Depart
+
+
+class VoterActor:
+    """Owns the voter and its file. Disk work goes to a thread and holds this actor alone, never the loop;
+    what comes meanwhile goes together under the next flush."""
+
+    def __init__(self, bounds: Bounds, name: str, send: Callable[[str, Message], None]) -> None:
+        self.send = send
+        self.mailbox: Mailbox[tuple[str, Asked | Rejoin | Known]] = Mailbox(MAILBOX)
+        self.disk = Disk(bounds.folder, bounds.name, name)
+        memory = None
+        try:
+            memory = self.disk.load()
+            if memory is None:
+                logger.warning("this voter has no memory: it abstains until all others have told it theirs "
+                               "(a new fleet is begun by `myrtlecrank fleet found`)")
+        except TornError as error:
+            logger.error("this voter's memory {}: it abstains until all others have told it theirs", error)
+        others = [one for one in bounds.voters if one != name]
+        self.voter = Voter(name, others, memory, self._keep, bounds.name, bounds.trust_disk)
+        if not others and memory is not None:
+            self.voter.voting = True  # the only voter has nobody to ask
+        self.full = False
+
+    def _keep(self, memory: Memory) -> bool:
+        raw = encode(memory)
+        kept: bool = get_hub().threadpool.apply(self.disk.write, (raw,))
+        if kept is self.full:
+            self.full = not kept
+            logger.log("INFO" if kept else "ERROR", "this voter's disk {}",
+                       "takes writes again" if kept else "refuses a write: it says nothing until it does")
+        return kept
+
+    def put(self, sender: str, message: Asked | Rejoin | Known) -> None:
+        if len(self.mailbox) < MAILBOX:  # else dropped, as the link would
+            self.mailbox.post((sender, message))
+
+    def run(self) -> None:
+        due = 0.0
+        while True:
+            asked = self.voter.rejoin()
+            if asked is not None and mono_ms() >= due:
+                due = mono_ms() + REJOIN_MS
+                for other in self.voter.others:
+                    self.send(other, asked)
+            self._turn(self.mailbox.take(None if asked is None else max(1.0, due - mono_ms())))
+
+    def _turn(self, letters: list[tuple[str, Asked | Rejoin | Known]]) -> None:
+        questions: list[tuple[str, Asked, Prepare | Accept | Glance]] = []
+        for sender, message in letters:
+            if isinstance(message, Asked):
+                questions.append((sender, message, message.ask))
+            elif isinstance(message, Rejoin):
+                if sender == message.voter and (known := self.voter.asked(message)) is not None:
+                    self.send(sender, known)
+            elif sender == message.voter and not self.voter.voting and self.voter.told(message):
+                logger.info("this voter votes again, boot {}", self.voter.memory.boot)
+        if not questions:
+            return
+        votes = self.voter.answers(ask for _, _, ask in questions)
+        for (sender, asked, _), vote in zip(questions, votes, strict=True):
+            if vote is not None:
+                self.send(sender, Voted(asked.call, asked.round, vote))
+
+
+class FleetActor:
+    """Owns this process's member. The module's actor hears nothing of it and waits for nothing in it."""
+
+    def __init__(self, bounds: Bounds, name: str, seed: int) -> None:
+        self.bounds, self.name = bounds, name
+        self.mailbox: Mailbox[Letter] = Mailbox(MAILBOX)
+        addresses = {one: address(at.at) or ("", 0) for one, at in bounds.members.items()}
+        me = Rumour(name, addresses[name], bounds.members[name].zone, int(time.time()), State.ALIVE, False)
+        # Unlike any other start of any process, ever: two starts that shared it could look like one owner.
+        start = uuid.uuid4().hex[:16]
+        self.fleet = Fleet(me, start, addresses, plan_of(bounds), Random(seed).random, mono_ms())
+        self.links = Links(bounds.name, name, addresses, bounds.queue, self.heard, self.asked)
+        self.voter = VoterActor(bounds, name, self.send) if name in bounds.voters else None
+        self.receivers = {one: Receiver(address(duty.to) or ("", 0), self.fleet.ident)
+                          for one, duty in bounds.duties.items()}
+        self.away_since: float | None = None  # since when the register has not answered
+        self.away_told = False
+
+    def actors(self) -> list[Callable[[], None]]:
+        return [self.run, self.links.run, *([self.voter.run] if self.voter is not None else [])]
+
+    # -- for the other actors
+
+    def feel(self, well: bool, warmth: float) -> None:
+        """On the module's beat. A change only, so the mailbox does not fill."""
+        fit = well and warmth >= WARM
+        if fit is not self.fleet.members.me.fit:
+            self.mailbox.post(Feel(fit))
+
+    def depart(self) -> None:
+        self.mailbox.post(Depart())
+
+    def heard(self, sender: str, message: Message) -> None:
+        """Waits for room, which holds the one link that it came by."""
+        if isinstance(message, Asked | Rejoin | Known):
+            if self.voter is not None:
+                self.voter.put(sender, message)
+        else:
+            self.mailbox.put(Heard(sender, message))
+
+    def send(self, to: str, message: Message) -> None:
+        if to != self.name:
+            self.links.send(to, message)
+        elif isinstance(message, Asked | Rejoin | Known):
+            if self.voter is not None:
+                self.voter.put(to, message)
+        else:
+            self.mailbox.post(Heard(to, message))
+
+    # -- this actor
+
+    def run(self) -> None:
+        fleet = self.fleet
+        while True:
+            wait = max(0.0, fleet.due() - mono_ms())
+            letters = self.mailbox.take(max(wait, 0.5))
+            now = mono_ms()
+            for letter in letters:
+                match letter:
+                    case Heard(sender, message):
+                        fleet.heard(sender, message, now)
+                    case Did(effect, taken):
+                        fleet.did(effect, taken, now)
+                    case Feel(fit):
+                        fleet.feel(fit)
+                    case Depart():
+                        fleet.leave(now)
+            fleet.tick(mono_ms())
+            self._carry_out()
+
+    def _carry_out(self) -> None:
+        out, self.fleet.out = self.fleet.out, []
+        for to, message in out:
+            self.send(to, message)
+        effects, self.fleet.effects = self.fleet.effects, []
+        for effect in effects:
+            gevent.spawn(self._effect, effect)
+        for name, state in self.fleet.members.changes:
+            logger.info("fleet member {} is {}", name, state.name.lower())
+        self.fleet.members.changes.clear()
+        for duty in self.fleet.duties.values():
+            for line in duty.changes:
+                logger.info("fleet duty {}: {}", duty.name, line)
+            duty.changes.clear()
+        self._look_at_register()
+
+    def _look_at_register(self) -> None:
+        """Told once it has been away for a lease, by when an owner that cannot renew has stopped."""
+        reached, now = self.fleet.reached, mono_ms()
+        if reached is not False:
+            if self.away_told:
+                logger.info("the fleet's register answers again")
+            self.away_since, self.away_told = None, False
+        elif self.away_since is None:
+            self.away_since = now
+        elif not self.away_told and now - self.away_since >= self.bounds.lease_ms:
+            self.away_told = True
+            logger.warning("the fleet's register does not answer: no majority of its voters is there, "
+                           "nothing new is owned")
+
+    def _effect(self, effect: Effect) -> None:
+        duty = self.fleet.duties[effect.duty]
+        taken = self.receivers[effect.duty].offer(
+            effect, lambda: duty.owns(mono_ms()) == effect.epoch, lambda: effect.until - mono_ms())
+        self.mailbox.post(Did(effect, taken))
+
+    # -- operators
+
+    def asked(self, message: Message) -> Message | None:
+        fleet, now = self.fleet, mono_ms()
+        if isinstance(message, StepDown):
+            duty = fleet.duties.get(message.duty)
+            if duty is None:
+                return Report([], f"no duty is named {message.duty[:60]!r}")
+            if duty.owns(now) is None:
+                owner = member_of(duty.lease.owner) or "nobody"
+                return Report([], f"{self.name} does not own {message.duty}; its owner is {owner}")
+            if not fleet.step_down(message.duty):
+                return Report([], "no other member is fit to take it")
+            self.mailbox.wake()
+            return Report([{"duty": message.duty, "given_up_by": self.name}])
+        if not isinstance(message, Tell):
+            return Report([], "not understood")
+        if message.what == "members":
+            return Report(list(fleet.rows_of_members(now)))
+        if message.what == "owners":
+            return Report(list(fleet.rows_of_owners(now)))
+        if message.what == "register":
+            return Report(self._register())
+        return Report([], f"{message.what[:60]!r} is not known; there are members, owners and register")
+
+    def _register(self) -> list[Row]:
+        voter = self.voter.voter if self.voter is not None else None
+        if voter is None:
+            return [{"voter": None, "voters": ", ".join(self.bounds.voters), "answers": self.fleet.reached}]
+        state = "votes" if voter.voting else f"abstains, heard {len(voter.heard)} of {len(voter.others)}"
+        memory = voter.memory
+        return [{"voter": self.name, "state": state, "boot": memory.boot, "keys": len(memory.slots),
+                 "disk": not voter.failed, "answers": self.fleet.reached}]
--- a/myrtlecrank/fleet/decide.py
+++ b/myrtlecrank/fleet/decide.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from myrtlecrank.fleet.members.decide import Members, Pace
@@ -12,8 +12,8 @@
 from myrtlecrank.fleet.owner.decide import Duty, Look, Put, Terms, member_of, rebalance
 from myrtlecrank.fleet.register.calls import Calls
 from myrtlecrank.fleet.register.decide import Proposer
-from myrtlecrank.fleet.register.words import Outcome
-from myrtlecrank.fleet.words import Message, Offered, Voted
+from myrtlecrank.fleet.register.words import Outcome, Result
+from myrtlecrank.fleet.words import Message, Offered, Row, Voted
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +77,7 @@
         self.duties = {work.name: Duty(work.name, self.ident, plan.terms) for work in plan.works}
         self.doing = {work.name: Doing() for work in plan.works}
         self.leaving = False
+        self.reached: bool | None = None  # whether the last call to the register had a majority
         self.even_due = now + plan.even
         # Not all members at one instant: the first look of each is spread over one interval.
         for duty in self.duties.values():
@@ -145,6 +146,7 @@
         def done(outcome: Outcome, then: float) -> None:
             was = duty.epoch
             heir = duty.heir
+            self.reached = outcome.result is not Result.AWAY
             duty.heard(outcome, then)
             if was is not None and duty.epoch is None and heir:
                 self.out.append((heir, Offered(duty.name)))
@@ -157,6 +159,30 @@
             call = self.proposer.read(duty.name)
         self.calls.start(call, done, now)
 
+    def step_down(self, name: str) -> bool:
+        """By an operator: the duty goes to the fittest other; False where there is none, and it stays."""
+        heir = self._heir()
+        if heir:
+            self.duties[name].give_up(heir)
+        return bool(heir)
+
+    # -- what operators see
+
+    def rows_of_members(self, now: float) -> Iterator[Row]:
+        members = self.members
+        for name in sorted([self.name, *members.members]):
+            told = members.me if name == self.name else members.members[name].told
+            since = 0.0 if name == self.name else (now - members.members[name].since) / 1000.0
+            yield {"member": name, "state": told.state.name.lower(), "fit": told.fit, "zone": told.zone,
+                   "incarnation": told.incarnation, "for_s": round(since, 1)}
+
+    def rows_of_owners(self, now: float) -> Iterator[Row]:
+        for name, duty in self.duties.items():
+            lease = duty.lease
+            yield {"duty": name, "owner": member_of(lease.owner) or None, "epoch": lease.epoch,
+                   "step": lease.progress, "seen_ms_ago": round(now - duty.since),
+                   "here": duty.owns(now) is not None, "heir": lease.heir or None}
+
     # -- the steps of a duty
 
     def _work(self, work: Work, now: float) -> None:
--- a/myrtlecrank/fleet/register/disk.py
+++ b/myrtlecrank/fleet/register/disk.py
@@ -72,10 +72,14 @@
     def keep(self, memory: Memory) -> bool:
         """True once it is durable: the bytes, and the name that stands for them. False, and the old file
         stands, where the disk refuses."""
+        return self.write(encode(memory))
+
+    def write(self, raw: bytes) -> bool:
+        """The same of bytes that encode() made: touches no object of the caller's, so a thread may run it."""
         new = self.path + ".new"
         try:
             with open(new, "wb") as file:
-                file.write(encode(memory))
+                file.write(raw)
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(new, self.path)
--- a/myrtlecrank/fleet/words.py
+++ b/myrtlecrank/fleet/words.py
@@ -38,4 +38,27 @@
     duty: str
 
 
-Message = Hello | Asked | Voted | Rejoin | Known | Offered | Ping | PingFor | Ack | Swap
+class Tell(Struct, frozen=True, tag=True):
+    """An operator asks: members, owners or register."""
+
+    what: str
+
+
+class StepDown(Struct, frozen=True, tag=True):
+    """An operator has the owner that hears this give a duty up."""
+
+    duty: str
+
+
+Row = dict[str, str | int | float | bool | None]
+
+
+class Report(Struct, frozen=True, tag=True):
+    """The answer to an operator: rows for a table, or one line on what is wrong."""
+
+    rows: list[Row]
+    wrong: str = ""
+
+
+Message = (Hello | Asked | Voted | Rejoin | Known | Offered | Ping | PingFor | Ack | Swap
+           | Tell | StepDown | Report)
--- a/myrtlecrank/operators/file.py
+++ b/myrtlecrank/operators/file.py
@@ -5,6 +5,7 @@
 import os
 import tomllib
 from collections.abc import Callable, Mapping
+from importlib import import_module
 from typing import Any
 
 from myrtlecrank.operators.sections import nearest, read
@@ -12,8 +13,18 @@
 PATH_VARIABLE = "MYRTLECRANK_OPERATORS"
 USUAL = os.path.join("deploy", "operators.toml")
 LONGEST = 1_000_000  # bytes; a longer file is none of ours, and reading it would fill the memory
-# Of each section: what it is read into, and what contradicts itself in it
-Sections = Mapping[str, tuple[type[Any], Callable[[Any], list[str]]]]
+# Of each section: what it is read into, and what contradicts itself in it. A section may be named by its
+# module, with Bounds and contradictions in it: that is imported only where the section is in the file.
+Known = tuple[type[Any], Callable[[Any], list[str]]]
+Sections = Mapping[str, Known | str]
+
+
+def known(sections: Sections, name: str) -> Known:
+    found = sections[name]
+    if isinstance(found, str):
+        module = import_module(found)
+        return module.Bounds, module.contradictions
+    return found
 
 
 class OperatorsError(Exception):
@@ -49,7 +60,7 @@
         if name not in sections:
             wrong.append(f"[{name}]: unknown section{nearest(name, list(sections))}")
             continue
-        kind, contradictions = sections[name]
+        kind, contradictions = known(sections, name)
         section = read(kind, name, table, wrong)
         if section is not None:
             wrong += [f"[{name}] {line}" for line in contradictions(section)]
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -64,6 +64,11 @@
     def spawn(work: Callable[[], object]) -> None:
         gevent.spawn(actor, work)
 
+    fleet = None
+    if operators.fleet is not None:
+        from myrtlecrank.fleet.actor import FleetActor  # nothing of it is there while the section is off
+
+        fleet = FleetActor(operators.fleet, orders.name, orders.facts.seed)
     front = Front(orders.listen, orders.sockets, core, spawn, operators.accepting)
 
     def watch_leaving() -> None:
@@ -94,6 +99,8 @@
             logger.info("operators' file read: changed are {}", ", ".join(unlike))
             core.mailbox.post(Adopt(told.repeats))
             front.adopt(told.accepting)
+            if "fleet" in unlike:
+                logger.warning("[fleet] takes a new start and stays as it was")
         held[0] = told
 
     def reload_orders() -> None:
@@ -116,11 +123,21 @@
     core_shut = Flag()
     core.on_shut.append(core_shut.set)
     core.on_beat += [link.look, roll.beat]
+
+    def leave() -> None:
+        core.mailbox.post(Leave())
+        if fleet is not None:
+            fleet.depart()
+
+    if fleet is not None:
+        member = fleet
+        core.on_beat.append(lambda _: member.feel(core.board.well, core.board.warmth))
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, core.mailbox.post, Leave())
+        gevent.signal_handler(number, leave)
     gevent.signal_handler(signal.SIGHUP, reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    for work in (core.run, link.run, link.write, roll.run, front.run, watch_leaving):
+    works: list[Callable[[], object]] = [core.run, link.run, link.write, roll.run, front.run, watch_leaving]
+    for work in works + (fleet.actors() if fleet is not None else []):
         spawn(work)
     logger.info("{} listens on {}:{}", orders.name, *orders.listen)
     if operators.path is not None:
--- a/myrtlecrank/subsystems.py
+++ b/myrtlecrank/subsystems.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, fields
+from typing import TYPE_CHECKING
 
 from myrtlecrank.edge import pace
 from myrtlecrank.operators.file import Sections, find
 from myrtlecrank.operators.file import load as load_sections
 from myrtlecrank.repeats import bounds as repeats
 
+if TYPE_CHECKING:
+    from myrtlecrank.fleet import bounds as fleet
+
 SECTIONS: Sections = {
     "repeats": (repeats.Bounds, repeats.contradictions),
     "accepting": (pace.Accepting, pace.contradictions),
+    "fleet": "myrtlecrank.fleet.bounds",
 }
 
 
@@ -22,6 +27,7 @@
     path: str | None = None
     repeats: repeats.Bounds | None = None
     accepting: pace.Accepting | None = None
+    fleet: fleet.Bounds | None = None
 
     def unlike(self, other: Operators) -> list[str]:
         """The sections that differ there."""
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -10,13 +10,16 @@
 from typing import Any
 
 import click
+import gevent
 from loguru import logger
 from rich.console import Console
 from rich.progress import Progress
 
 from rig.experiments import EXPERIMENTS, Play, play, scene_of
 
+FLEET = {"fleet-owner": "one owner of each duty at a time, through faults between 5 processes; 3 vote"}
 NAME = click.argument("name", type=click.Choice(list(EXPERIMENTS)))
+ANY_NAME = click.argument("name", type=click.Choice([*EXPERIMENTS, *FLEET]))
 SUBSYSTEMS = click.Choice(["repeats", "accepting"])
 CHANGES = [
     click.option("--load", type=click.FloatRange(0.05, 2.0), help="Work asked for over the cores."),
@@ -50,6 +53,8 @@
     """The experiments, a line each."""
     for name, one in EXPERIMENTS.items():
         click.echo(f"{name:14} {one.what}")
+    for name, what in FLEET.items():
+        click.echo(f"{name:14} {what}")
 
 
 def _end(lines: list[dict[str, Any]], breaks: list[Play]) -> None:
@@ -60,16 +65,22 @@
 
 
 @main.command("play")
-@NAME
+@ANY_NAME
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--off", type=SUBSYSTEMS, help="Plays without this subsystem.")
 @click.option("--real", is_flag=True, help="With real processes on loopback, in real time.")
+@click.option("--virtual", is_flag=True, help="Of a fleet: its decisions on the virtual clock.")
+@click.option("--bug", help="Of a fleet: 'fence' for a resource without one; with --virtual a planted bug.")
 @changed
 @OUT
 def play_(
-    name: str, seed: int, off: str | None, real: bool, quick: bool, out: Path | None, **changes: Any
+    name: str, seed: int, off: str | None, real: bool, virtual: bool, bug: str | None, quick: bool,
+    out: Path | None, **changes: Any
 ) -> None:
     """Plays one experiment once. The last line on standard output is a JSON object."""
+    if name in FLEET:
+        _play_fleet(name, seed, virtual, bug, quick, out)
+        return
     scene = scene_of(name, off, quick, **changes)
     with Progress(console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task(name, total=1.0)
@@ -83,6 +94,44 @@
     _end([one.line()], [one] if any(one.rules.values()) else [])
 
 
+def _play_fleet(
+    name: str, seed: int, virtual: bool, bug: str | None, quick: bool, out: Path | None
+) -> None:
+    from rig.several import owners
+    from rig.several.bugs import BUGS
+
+    if bug is not None and bug != "fence" and not (virtual and bug in BUGS):
+        click.echo(f"no such bug; there are fence and, with --virtual, {', '.join(BUGS)}", err=True)
+        sys.exit(2)
+    try:
+        if virtual:
+            scene = owners.Scene(length=15_000.0 if quick else 60_000.0, fence=bug != "fence")
+            one = owners.play(seed, scene, BUGS.get(bug or ""))
+        else:
+            from rig.sockets.owners import play as play_real
+
+            one = play_real(seed, seconds=25.0 if quick else 60.0, fence=bug != "fence",
+                            keep=None if out is None else out / "logs")
+    except (OSError, gevent.Timeout) as error:
+        click.echo(f"could not run: {error}", err=True)
+        sys.exit(2)
+    rules = {key: int(one.figures.get(key, 0) > most) for key, most in owners.AIMS.items()}
+    line: dict[str, Any] = {
+        "experiment": name, "seed": seed, "where": "virtual clock" if virtual else "real processes",
+        "figures": one.figures, "rules": rules, "incomplete": None,
+    }
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "result.json").write_text(json.dumps(line | {"script": one.script}, indent=1) + "\n")
+        rows = "\n".join(f"| {key} | {value:g} |" for key, value in one.figures.items())
+        title = f"# {name}, seed {seed}, {line['where']}"
+        (out / "table.md").write_text(f"{title}\n\n| figure | value |\n| --- | --- |\n{rows}\n")
+    click.echo(json.dumps(line))
+    if one.first_break:
+        click.echo(f"seed {seed}: {one.first_break}", err=True)
+    sys.exit(1 if one.first_break else 0)
+
+
 def _job(job: tuple[str, str, str, int, dict[str, Any], bool, bool]) -> tuple[str, Play]:
     logger.remove()
     side, off, name, seed, changes, quick, real = job
--- /dev/null
+++ b/rig/sockets/owners.py
@@ -0,0 +1,316 @@
+"""The experiment fleet-owner with real processes: `myrtlecrank serve` between stand-ins, a proxy on each
+link, signals and restarts drawn from the seed, and the resource that judges from outside."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import gevent
+import orjson
+from gevent import socket
+
+from myrtlecrank.fleet.decide import Effect
+from rig.several.judge import Resource
+from rig.several.owners import AIMS, Played
+from rig.sockets.process import GAUGES, ROOT, free_address
+from rig.sockets.proxy import Proxy
+
+LEASE_MS = 1000.0
+STEP_MS = 100.0
+FAULTS = ("kill", "kill", "stop", "stop", "cut", "freeze", "freeze-in", "freeze-out", "half", "slow", "flap",
+          "term", "lost-disk")
+SETTINGS: dict[str, Any] = {
+    "categories": [{"name": "group", "effect": "read_like", "aim": 1_000_000, "deadline": 4_000_000}],
+    "domain": {"cores": 2, "memoryKb": 1000.0, "signal": "tokens", "gauges": list(GAUGES)},
+    "guarantees": {"fallMultiple": 4.0, "fall": 2_000_000},
+    "tenants": [{"name": "acme", "share": 1.0, "allowancePerS": 10.0}],
+}
+
+
+class Stands:
+    """What every backend wants around it: an agent that greets, a list that is silent, the resource of the
+    duties."""
+
+    def __init__(self, fence: bool) -> None:
+        self.resource = Resource(fence)
+        self.begin = time.monotonic()
+        self.agent = self._listen(self._greet)
+        self.roll = self._listen(self._silent)
+        self.sink = self._listen(self._take)
+        self.connections: list[socket.socket] = []
+
+    def now(self) -> float:
+        return (time.monotonic() - self.begin) * 1000.0
+
+    def _listen(self, serve: Any) -> tuple[str, int]:
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(64)
+
+        def run() -> None:
+            while True:
+                sock, _ = listener.accept()
+                self.connections.append(sock)
+                gevent.spawn(self._served, serve, sock)
+
+        gevent.spawn(run)
+        address: tuple[str, int] = listener.getsockname()
+        return address
+
+    @staticmethod
+    def _served(serve: Any, sock: socket.socket) -> None:
+        try:
+            serve(sock)
+        except (OSError, ValueError, KeyError):
+            pass
+        finally:
+            sock.close()
+
+    @staticmethod
+    def _greet(sock: socket.socket) -> None:
+        """A machine that is up for long, warm and idle."""
+        file = sock.makefile("rb")
+        while line := file.readline():
+            match line.decode().split():
+                case ["subscribe", _]:
+                    sock.sendall(b"greeting LOADED 60000000\r\n")
+                case ["sample", tag]:
+                    sock.sendall(f"sampled {tag} 0.01 0 0.1 1\r\n".encode())
+
+    @staticmethod
+    def _silent(sock: socket.socket) -> None:
+        while sock.recv(4096):
+            pass
+
+    def _take(self, sock: socket.socket) -> None:
+        """A line each way. Judged in the order in which the lines come off the sockets."""
+        buffer = b""
+        while data := sock.recv(4096):
+            buffer += data
+            while b"\n" in buffer:
+                line, buffer = buffer.split(b"\n", 1)
+                told = orjson.loads(line)
+                effect = Effect(told["duty"], told["epoch"], told["step"], 0.0)
+                taken = self.resource.offered(self.now(), told["owner"], effect)
+                sock.sendall(b'{"taken":true}\n' if taken else b'{"taken":false}\n')
+
+
+class Backend:
+    """One real process of the program, a member of the fleet."""
+
+    def __init__(self, name: str, folder: Path, stands: Stands, operators: str, seed: int) -> None:
+        self.name, self.folder = name, folder
+        self.process: subprocess.Popen[bytes] | None = None
+        listen = free_address(seed + int(name[1:]))
+        conf = {
+            "name": name, "listen": f"{listen[0]}:{listen[1]}", "agent": ":".join(map(str, stands.agent)),
+            "members": ":".join(map(str, stands.roll)), "seed": f"{seed:016x}", "stop_ms": 800,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS,
+        }
+        self.config, self.operators = folder / f"{name}.json", folder / f"{name}.toml"
+        self.config.write_text(json.dumps(conf))
+        self.operators.write_text(operators)
+        self.log = open(folder / f"{name}.log", "ab")  # noqa: SIM115 - open as long as the play
+
+    def command(self, *words: str) -> list[str]:
+        return [sys.executable, "-m", "myrtlecrank", *words, "--operators", str(self.operators)]
+
+    def found(self) -> None:
+        words = self.command("fleet", "found", self.name)
+        subprocess.run(words, cwd=ROOT, check=True, stdout=subprocess.DEVNULL)
+
+    def start(self) -> None:
+        if self.process is None:
+            self.process = subprocess.Popen(
+                self.command("serve", str(self.config)), cwd=ROOT, stdout=self.log, stderr=self.log,
+                env={**os.environ, "PYTHONPATH": str(ROOT)})
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        process, self.process = self.process, None
+        if process is not None:
+            process.kill()
+            process.wait()
+
+
+class RealPlay:
+    def __init__(self, seed: int, members: int, voters: int, duties: int, fence: bool, folder: Path) -> None:
+        self.seed, self.random, self.folder = seed, Random(seed), folder
+        self.stands = Stands(fence)
+        names = [f"n{i}" for i in range(members)]
+        self.voters = names[:voters]
+        homes = {name: free_address(seed % 1000 + 40 + i) for i, name in enumerate(names)}
+        # Of a pair the one whose name comes first connects, through the proxy of that pair.
+        self.links = {(a, b): Proxy(homes[b]) for a in names for b in names if a < b}
+        self.duties = [f"duty-{i}" for i in range(duties)]
+        self.backends = {
+            name: Backend(name, folder, self.stands, self._operators(name, names, homes), seed)
+            for name in names
+        }
+        self.script: list[tuple[float, str, str, float]] = []
+
+    def _operators(self, me: str, names: list[str], homes: dict[str, tuple[str, int]]) -> str:
+        """Each member's own view of the addresses: its peers behind their proxies."""
+        lines = ["[fleet]", "on = true", 'name = "rig"', f"folder = {json.dumps(str(self.folder))}",
+                 f"voters = {json.dumps(self.voters)}", f"lease_ms = {LEASE_MS:g}", "reply_ms = 200",
+                 "probe_ms = 300", "probe_reply_ms = 100", "suspect_ms = 900", "even_ms = 2000"]
+        for i, name in enumerate(names):
+            link = self.links.get((me, name))
+            at = homes[name] if link is None else link.address
+            lines += [f"[fleet.members.{name}]", f'at = "{at[0]}:{at[1]}"', f'zone = "z{i % 3}"']
+        for duty in self.duties:
+            sink = self.stands.sink
+            lines += [f"[fleet.duties.{duty}]", f'to = "{sink[0]}:{sink[1]}"', f"every_ms = {STEP_MS:g}"]
+        return "\n".join(lines) + "\n"
+
+    # -- faults
+
+    def links_of(self, name: str) -> list[tuple[Proxy, bool]]:
+        """Each with whether this member is the one that connects."""
+        return [(link, pair[0] == name) for pair, link in self.links.items() if name in pair]
+
+    def fault(self) -> None:
+        kind = self.random.choice(FAULTS)
+        backend = self.random.choice(list(self.backends.values()))
+        seconds = self.random.uniform(0.3, 3.0) * LEASE_MS / 1000.0
+        others = [name for name in self.backends if name != backend.name]
+        side = {backend.name, *self.random.sample(others, len(others) // 2)}
+        delay = self.random.uniform(0.05, 1.5) * LEASE_MS / 1000.0
+        self.script.append((round(self.stands.now(), 1), kind, backend.name, round(seconds * 1000.0, 1)))
+        if kind in ("kill", "term", "lost-disk"):
+            gevent.spawn(self._away, backend, kind, seconds)
+        elif kind == "stop":
+            backend.signal(signal.SIGSTOP)
+            gevent.spawn_later(seconds, backend.signal, signal.SIGCONT)
+        elif kind == "half":
+            for (a, b), link in self.links.items():
+                if (a in side) != (b in side):
+                    link.freeze(seconds)
+        for link, connects in self.links_of(backend.name):
+            if kind == "cut":
+                link.cut(seconds)
+            elif kind == "freeze":
+                link.freeze(seconds)
+            elif kind == "freeze-in":
+                link.freeze(seconds, out=not connects, back=connects)
+            elif kind == "freeze-out":
+                link.freeze(seconds, out=connects, back=not connects)
+            elif kind == "slow":
+                link.slow(seconds, delay)
+            elif kind == "flap":
+                for i in range(6):
+                    gevent.spawn_later(0.3 * i, link.cut, 0.15)
+
+    def _away(self, backend: Backend, kind: str, seconds: float) -> None:
+        if kind == "term":
+            backend.signal(signal.SIGTERM)
+            gevent.sleep(1.0)
+        backend.end()
+        # One memory lost at a time: what two have lost together nobody can know.
+        alone = all(b.process is not None for b in self.backends.values() if b is not backend)
+        if kind == "lost-disk" and backend.name in self.voters and alone and not self.lost:
+            self.lost = True
+            (self.folder / f"voter-{backend.name}.state").unlink(missing_ok=True)
+        gevent.sleep(seconds)
+        backend.start()
+
+    lost = False  # once a play: the next could come before the first has rejoined
+
+    # -- the play
+
+    def begin(self) -> None:
+        """All up, each voter votes and each duty has an owner; raises gevent.Timeout."""
+        for name in self.voters:
+            self.backends[name].found()
+        for backend in self.backends.values():
+            backend.start()
+        self.wait(lambda: len(self.stands.resource.last) == len(self.duties))
+        # A voter that comes up asks all others: one that is gone before the last has its answer holds that
+        # one back.
+        logs = [self.folder / f"{name}.log" for name in self.voters]
+        self.wait(lambda: all("votes again" in log.read_text() for log in logs))
+
+    @staticmethod
+    def wait(true: Callable[[], bool], seconds: float = 20.0) -> None:
+        with gevent.Timeout(seconds):
+            while not true():
+                gevent.sleep(0.02)
+
+    def owner(self, duty: str) -> str:
+        """Whose effect was taken last, as the resource saw it."""
+        return next(t.owner for t in reversed(self.stands.resource.taken) if t.duty == duty).split("/")[0]
+
+    def finish(self) -> None:
+        for backend in self.backends.values():
+            backend.signal(signal.SIGCONT)
+            backend.end()
+            backend.log.close()
+        for link in self.links.values():
+            link.close()
+
+    def run(self, seconds: float, every: float) -> Played:
+        resource, stands = self.stands.resource, self.stands
+        try:
+            self.begin()
+            began = stands.now()
+            last_fault = began + seconds * 1000.0 - 7000.0
+            while stands.now() < began + seconds * 1000.0:
+                if every and stands.now() < last_fault:
+                    self.fault()
+                    gevent.sleep(self.random.expovariate(1.0 / every))
+                else:
+                    gevent.sleep(0.2)
+        finally:
+            self.finish()
+        end = stands.now()
+        usual = 4.0 * STEP_MS
+        gaps = resource.gaps(began, end, self.duties)
+        unowned = sum(max(0.0, b - a - usual) for a, b in gaps)
+        changes = [b.at - a.at for duty in self.duties
+                   for a, b in pairwise([t for t in resource.taken if t.duty == duty]) if a.owner != b.owner]
+        changes.sort()
+        figures: dict[str, float] = {
+            "owners_at_once": resource.owners_at_once(),
+            "late_effects_offered": resource.late_offered,
+            "late_effects_taken": resource.late_taken,
+            "steps": sum(resource.last.values()),
+            "steps_again_offered": resource.again_offered,
+            "steps_lost": resource.steps_lost(),
+            "steps_twice": resource.steps_twice,
+            "takeover_s": round(changes[int(0.95 * (len(changes) - 1))] / 1000.0, 3) if changes else 0.0,
+            "unowned_share": round(unowned / ((end - began) * len(self.duties)), 4),
+            "owner_changes": len(changes),
+            "stuck": sum(end - max(t.at for t in resource.taken if t.duty == one) > 3000.0
+                         for one in self.duties),
+            "faults": len(self.script),
+            "link_bytes_a_member_a_second": round(
+                sum(w.bytes for one in self.links.values() for w in (one.out, one.back))
+                / len(self.backends) / (end / 1000.0)),
+        }
+        trace = [(round(t.at, 3), t.duty, t.epoch, t.step, t.owner) for t in resource.taken]
+        wrong = [f"{key} {figures[key]:g}" for key, most in AIMS.items() if figures.get(key, 0) > most]
+        return Played(self.seed, figures, self.script, trace, "; ".join(wrong))
+
+
+def play(seed: int, seconds: float = 40.0, every: float = 2.0, members: int = 5, voters: int = 3,
+         duties: int = 4, fence: bool = True, keep: Path | None = None) -> Played:
+    """Real processes in real time. `every`: seconds between faults in the mean, 0 for none. `keep`: a folder
+    for logs."""
+    with tempfile.TemporaryDirectory() as usual:
+        folder = keep or Path(usual)
+        folder.mkdir(parents=True, exist_ok=True)
+        return RealPlay(seed, members, voters, duties, fence, folder).run(seconds, every)
