--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -12,6 +12,7 @@
 from gevent import get_hub
 from loguru import logger
 
+from myrtlecrank.core.board import Board
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.fleet.bounds import Bounds, address
 from myrtlecrank.fleet.decide import Effect, Fleet, Plan, Work
@@ -23,6 +24,7 @@
 from myrtlecrank.fleet.register.decide import Voter
 from myrtlecrank.fleet.register.disk import Disk, TornError, encode
 from myrtlecrank.fleet.register.words import Accept, Glance, Known, Memory, Prepare, Rejoin
+from myrtlecrank.fleet.watch.words import Gauges
 from myrtlecrank.fleet.words import Asked, Message, Report, Row, StepDown, Tell, Voted
 
 MAILBOX = 4096
@@ -42,7 +44,7 @@
     duties = bounds.duties.items()
     works = tuple(Work(name, one.every_ms, one.deadline_ms, one.back_off_ms) for name, one in duties)
     terms = Terms.of(bounds.lease_ms, bounds.drift, bounds.lease_ms / 4.0)
-    return Plan(bounds.voters, works, terms, pace, bounds.reply_ms, bounds.even_ms)
+    return Plan(bounds.voters, works, terms, pace, bounds.reply_ms, bounds.even_ms, bounds.watch_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +90,10 @@
             logger.error("this voter's memory {}: it abstains until all others have told it theirs", error)
         others = [one for one in bounds.voters if one != name]
         self.voter = Voter(name, others, memory, self._keep, bounds.name, bounds.trust_disk)
-        if not others and memory is not None:
+        if self.voter.stranger and memory is not None:
+            logger.error("this voter's memory is of the voters {}; the operators' file names others: it says "
+                         "nothing", ", ".join(memory.voters))
+        elif not others and memory is not None:
             self.voter.voting = True  # the only voter has nobody to ask
         self.full = False
 
@@ -156,9 +161,11 @@
 
     # -- for the other actors
 
-    def feel(self, well: bool, warmth: float) -> None:
-        """On the module's beat. A change only, so the mailbox does not fill."""
-        fit = well and warmth >= WARM
+    def feel(self, board: Board, storm: bool) -> None:
+        """On the module's beat. What is to be told to others is left here; the mailbox hears of a change
+        only."""
+        self.fleet.gauges = Gauges(board.well, board.warmth, board.late, board.value, storm)
+        fit = board.well and board.warmth >= WARM
         if fit is not self.fleet.members.me.fit:
             self.mailbox.post(Feel(fit))
 
@@ -260,15 +267,20 @@
             return Report(list(fleet.rows_of_members(now)))
         if message.what == "owners":
             return Report(list(fleet.rows_of_owners(now)))
+        if message.what == "view":
+            rows = list(fleet.rows_of_view(now))
+            return Report(rows, "" if rows else "the fleet's view is unknown here: none has come of late")
         if message.what == "register":
             return Report(self._register())
-        return Report([], f"{message.what[:60]!r} is not known; there are members, owners and register")
+        return Report([], f"{message.what[:60]!r} is not known; there are members, owners, view and register")
 
     def _register(self) -> list[Row]:
         voter = self.voter.voter if self.voter is not None else None
         if voter is None:
             return [{"voter": None, "voters": ", ".join(self.bounds.voters), "answers": self.fleet.reached}]
-        state = "votes" if voter.voting else f"abstains, heard {len(voter.heard)} of {len(voter.others)}"
+        state = f"abstains, heard {len(voter.heard)} of {len(voter.others)}"
+        if voter.voting or voter.stranger:
+            state = "votes" if voter.voting else "of other voters"
         memory = voter.memory
         return [{"voter": self.name, "state": state, "boot": memory.boot, "keys": len(memory.slots),
                  "disk": not voter.failed, "answers": self.fleet.reached}]
--- a/myrtlecrank/fleet/bounds.py
+++ b/myrtlecrank/fleet/bounds.py
@@ -41,6 +41,7 @@
     helpers: int = figure(3, 0, 16, "how many are asked")
     suspect_ms: float = figure(1500.0, 50.0, 600_000.0, "least time in suspicion; six times that unconfirmed")
     even_ms: float = figure(3000.0, 100.0, 3_600_000.0, "between two moves to even the duties out")
+    watch_ms: float = figure(1000.0, 0.0, 60_000.0, "between two views of the fleet by its watcher; 0: none")
     queue: int = figure(256, 16, 65_536, "messages that wait for one peer; more are dropped")
     members: dict[str, MemberAt] = table(MemberAt, "every member, by name")  # noqa: RUF009
     duties: dict[str, DutyOf] = table(DutyOf, "every duty, by name")  # noqa: RUF009
@@ -80,6 +81,7 @@
         places[one.at] = name
         if "/" in name:
             wrong.append(f"members.{name}: a name has no slash")
+    wrong += [f"duties.{name}: a name has no slash" for name in bounds.duties if "/" in name]
     for name, duty in bounds.duties.items():
         if address(duty.to) is None:
             wrong.append(f"duties.{name} to: {duty.to!r} is not an IPv4 address with a port")
--- a/myrtlecrank/fleet/command.py
+++ b/myrtlecrank/fleet/command.py
@@ -95,6 +95,7 @@
 
     teller("members", "Who is there, as one member sees it.")
     teller("owners", "The duties: owner, epoch, last recorded step.")
+    teller("view", "The members' gauges as the fleet's watcher gathered them.")
     teller("register", "Whether a voter votes, and whether the register answers.")
 
     @fleet.command("step-down")
@@ -117,7 +118,7 @@
         if name not in bounds.voters:
             _fail(f"{name!r} is no voter; there are {', '.join(bounds.voters)}")
         try:
-            Disk(bounds.folder, bounds.name, name).found()
+            Disk(bounds.folder, bounds.name, name).found(bounds.voters)
         except OSError as error:
             _fail(str(error))
         click.echo(f"voter {name} of fleet {bounds.name} begins with nothing")
--- a/myrtlecrank/fleet/decide.py
+++ b/myrtlecrank/fleet/decide.py
@@ -13,6 +13,9 @@
 from myrtlecrank.fleet.register.calls import Calls
 from myrtlecrank.fleet.register.decide import Proposer
 from myrtlecrank.fleet.register.words import Outcome, Result
+from myrtlecrank.fleet.watch.decide import DUTY as WATCH
+from myrtlecrank.fleet.watch.decide import Watch
+from myrtlecrank.fleet.watch.words import Gauges, Told, Watched
 from myrtlecrank.fleet.words import Message, Offered, Row, Voted
 
 
@@ -59,6 +62,7 @@
     pace: Pace
     reply: float  # ms that a round of the register waits
     even: float  # ms between two moves to even the duties out
+    watch: float = 0.0  # ms between two views of the fleet; 0: there are none
 
 
 class Fleet:
@@ -76,6 +80,10 @@
         self.calls = Calls(plan.voters, plan.reply, lambda to, asked: self.out.append((to, asked)))
         self.duties = {work.name: Duty(work.name, self.ident, plan.terms) for work in plan.works}
         self.doing = {work.name: Doing() for work in plan.works}
+        self.gauges = Gauges()  # this backend's own, as last told
+        self.watch = Watch(plan.watch, 4.0 * plan.watch)
+        if plan.watch:
+            self.duties[WATCH] = Duty(WATCH, self.ident, plan.terms)
         self.leaving = False
         self.reached: bool | None = None  # whether the last call to the register had a majority
         self.even_due = now + plan.even
@@ -91,6 +99,12 @@
             self.calls.heard(sender, message, now)
         elif isinstance(message, Ping | PingFor | Ack | Swap):
             self.out += self.members.heard(sender, message, now)
+        elif isinstance(message, Watched):
+            answer = self.watch.hear(message, self.gauges, now) if self.plan.watch else None
+            if answer is not None:
+                self.out.append((sender, answer))
+        elif isinstance(message, Told):
+            self.watch.told(sender, message, now)
         elif isinstance(message, Offered) and message.duty in self.duties:
             self.duties[message.duty].due = now
 
@@ -120,7 +134,8 @@
                 works.append(one.due if one.until is None else one.until)
         duties = [max(one.due, 0.0) for one in self.duties.values() if one.asked is None]
         ends = [one.until for one in self.duties.values() if one.epoch is not None]
-        return min([self.members.due(), self.calls.due(), self.even_due, *works, *duties, *ends])
+        views = [self.watch.due] if self.watch.epoch is not None else []
+        return min([self.members.due(), self.calls.due(), self.even_due, *works, *duties, *ends, *views])
 
     def tick(self, now: float) -> None:
         # First what has run out: a process that wakes after a pause must do nothing before it has looked.
@@ -136,6 +151,9 @@
                 duty.due = now + self.plan.terms.look / 4.0
         for work in self.plan.works:
             self._work(work, now)
+        if self.plan.watch:
+            epoch = self.duties[WATCH].owns(now)
+            self.out += self.watch.tick(now, epoch, self.members.there(), self.name, self.gauges)
         if now >= self.even_due:
             self.even_due = now + self.plan.even
             self._even()
@@ -176,6 +194,13 @@
             yield {"member": name, "state": told.state.name.lower(), "fit": told.fit, "zone": told.zone,
                    "incarnation": told.incarnation, "for_s": round(since, 1)}
 
+    def rows_of_view(self, now: float) -> Iterator[Row]:
+        for known in self.watch.now_known(now) or []:
+            gauges = known.gauges
+            yield {"member": known.member, "age_ms": round(known.age), "well": gauges.well,
+                   "warmth": round(gauges.warmth, 2), "late_ms": round(gauges.late, 1), "value": gauges.value,
+                   "storm": gauges.storm}
+
     def rows_of_owners(self, now: float) -> Iterator[Row]:
         for name, duty in self.duties.items():
             lease = duty.lease
--- a/myrtlecrank/fleet/register/decide.py
+++ b/myrtlecrank/fleet/register/decide.py
@@ -48,8 +48,13 @@
     ) -> None:
         self.name, self.others, self.keep = name, frozenset(others), keep
         self.memory = memory or Memory(fleet, name, 0, {}, {})
+        voters = sorted([name, *self.others])
+        # Guards against two majorities: while members run with unlike lists of voters, one that remembers
+        # another list than it is told says nothing at all.
+        self.stranger = memory is not None and memory.voters != voters
+        self.memory.voters = self.memory.voters or voters
         self.lost = memory is None  # nothing of it may be told to another that rejoins
-        self.voting = memory is not None and whole
+        self.voting = memory is not None and whole and not self.stranger
         if not self.voting:
             self.memory.boot += 1
         self.heard: dict[str, Known] = {}
@@ -86,12 +91,12 @@
 
     def rejoin(self) -> Rejoin | None:
         """What to ask the others, again and again until voting; None where nothing is wanted."""
-        return None if self.voting else Rejoin(self.name, self.memory.boot)
+        return None if self.voting or self.stranger else Rejoin(self.name, self.memory.boot)
 
     def asked(self, rejoin: Rejoin) -> Known | None:
         """Tells another what is known here, after writing its boot down; None where this one has lost its
         own."""
-        if self.lost or rejoin.voter not in self.others:
+        if self.lost or self.stranger or rejoin.voter not in self.others:
             return None
         before = self.memory.boots.get(rejoin.voter, 0)
         if rejoin.boot > before:
@@ -104,7 +109,7 @@
     def told(self, known: Known) -> bool:
         """Takes in an answer; True once it votes again."""
         mine = self.memory
-        if self.voting or known.voter not in self.others or known.asked != mine.boot:
+        if self.voting or self.stranger or known.voter not in self.others or known.asked != mine.boot:
             return self.voting
         if known.before >= mine.boot and known.voter not in self.heard:
             # An older start may have voted under that number: begin again above it.
--- a/myrtlecrank/fleet/register/disk.py
+++ b/myrtlecrank/fleet/register/disk.py
@@ -8,6 +8,7 @@
 import contextlib
 import os
 import struct
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
@@ -94,10 +95,10 @@
             return False
         return True
 
-    def found(self) -> None:
+    def found(self, voters: Iterable[str]) -> None:
         """The first memory of a voter of a new fleet, empty. Never by itself: a voter that made its own after
         a loss would have forgotten. Raises FileExistsError, OSError."""
         if os.path.exists(self.path):
             raise FileExistsError(f"{self.path} is there already")
-        if not self.keep(Memory(self.fleet, self.voter, 0, {}, {})):
+        if not self.keep(Memory(self.fleet, self.voter, 0, {}, {}, sorted(voters))):
             raise OSError(f"{self.path} cannot be written")
--- a/myrtlecrank/fleet/register/words.py
+++ b/myrtlecrank/fleet/register/words.py
@@ -98,6 +98,7 @@
     boot: int
     slots: dict[str, Slot]
     boots: dict[str, int]
+    voters: list[str] = []  # all of them, this one too, by name in order
 
 
 class Result(Enum):
--- a/myrtlecrank/fleet/words.py
+++ b/myrtlecrank/fleet/words.py
@@ -6,6 +6,7 @@
 
 from myrtlecrank.fleet.members.words import Ack, Ping, PingFor, Swap
 from myrtlecrank.fleet.register.words import Accept, Glance, Known, Prepare, Rejoin, Vote
+from myrtlecrank.fleet.watch.words import Told, Watched
 
 VERSION = 1  # of all of this; a peer of another one is refused
 
@@ -60,5 +61,5 @@
     wrong: str = ""
 
 
-Message = (Hello | Asked | Voted | Rejoin | Known | Offered | Ping | PingFor | Ack | Swap
+Message = (Watched | Told | Hello | Asked | Voted | Rejoin | Known | Offered | Ping | PingFor | Ack | Swap
            | Tell | StepDown | Report)
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -131,7 +131,8 @@
 
     if fleet is not None:
         member = fleet
-        core.on_beat.append(lambda _: member.feel(core.board.well, core.board.warmth))
+        core.on_beat.append(
+            lambda _: member.feel(core.board, core.repeats is not None and core.repeats.storm))
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, leave)
     gevent.signal_handler(signal.SIGHUP, reload)
--- a/rig/several/bugs.py
+++ b/rig/several/bugs.py
@@ -87,7 +87,7 @@
         def make(start: Any, member: Member = member) -> Any:
             def started(trusted: bool = False) -> None:
                 if member.disk.image is None:
-                    member.disk.image = encode(Memory("", member.name, 0, {}, {}))
+                    member.disk.image = encode(Memory("", member.name, 0, {}, {}, sorted(play.plan.voters)))
                 start(trusted=True)
 
             return started
--- a/rig/several/history.py
+++ b/rig/several/history.py
@@ -123,7 +123,7 @@
         self.left = 16
         self.nodes = {name: Node(self, name) for name in self.names}
         for name, node in self.nodes.items():
-            node.disk.image = encode(Memory("", name, 0, {}, {}))
+            node.disk.image = encode(Memory("", name, 0, {}, {}, self.names))
             node.start(trusted=True)
         self.clients = {name: Client(self, name) for name in ("a", "b", "c")}
         self.world.at(10.0, self.fault)
@@ -165,7 +165,7 @@
             elif kind == "old" and not self.trusted:
                 node.disk.image = random.choice(node.disk.copies)
             if self.forget and node.disk.image is None:
-                node.disk.image = encode(Memory("", node.name, 0, {}, {}))
+                node.disk.image = encode(Memory("", node.name, 0, {}, {}, self.names))
             world.at(world.now + ms, lambda: node.start(self.trusted or self.forget))
         world.at(world.now + random.expovariate(1.0 / 25.0), self.fault)
 
--- a/rig/several/member.py
+++ b/rig/several/member.py
@@ -112,7 +112,7 @@
         self.peers: dict[str, Member] = {}
         self.woken = 0
         if name in plan.voters:
-            self.disk.image = encode(Memory("", name, 0, {}, {}))
+            self.disk.image = encode(Memory("", name, 0, {}, {}, sorted(plan.voters)))
 
     def start(self, trusted: bool = False) -> None:
         world, host = self.world, self.host
--- a/rig/several/owners.py
+++ b/rig/several/owners.py
@@ -31,6 +31,7 @@
     every: float = 3000.0  # ms between two faults, in the mean
     step_every: float = 120.0
     lease: float = 600.0
+    watch: float = 0.0  # ms between two views of the fleet
     fence: bool = True  # of the resource; off only to see that its judge finds what comes late
 
 
@@ -52,7 +53,7 @@
     voters = tuple(f"m{i}" for i in range(scene.voters))
     works = tuple(Work(f"duty-{i}", scene.step_every, 400.0, 100.0) for i in range(scene.duties))
     terms = Terms.of(scene.lease, DRIFT, scene.lease / 4.0)
-    return Plan(voters, works, terms, PACE, 250.0, 3000.0)
+    return Plan(voters, works, terms, PACE, 250.0, 3000.0, scene.watch)
 
 
 class Play:
--- /dev/null
+++ b/rig/several/walk.py
@@ -0,0 +1,132 @@
+"""Walks all orders of events for three voters and two proposers, to a depth.
+
+An event: a voter takes a request that was sent to it, and its vote arrives, or is lost; or a proposer's time
+is over. A request may be taken at any later time, so late ones are in it; what comes twice changes nothing
+(equal ballots). Both change one record over nothing, so at the most one may hear that it did."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from myrtlecrank.fleet.register.decide import Pause, Proposer, Round, Voter
+from myrtlecrank.fleet.register.words import NOTHING, Accept, Memory, Outcome, Prepare, Result, Slot, Vote
+
+NAMES = ("a", "b", "c")
+Votes = tuple[Vote, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Side:
+    """One proposer: what it was resumed with so far, the votes of this round, and what it has sent to
+    whom."""
+
+    resumed: tuple[Votes, ...] = ()
+    votes: Votes = ()
+    sent: tuple[tuple[int, str], ...] = ()  # round and voter, of requests that nobody has taken yet
+
+
+Slots = tuple[Slot | None, ...]
+State = tuple[Slots, tuple[Side, ...]]
+PACK = msgspec.msgpack.Encoder()
+
+
+def _name(vote: Vote) -> str:
+    return vote.voter
+
+
+class Walk:
+    """`broken` makes a voter answer without keeping its promise: a planted bug."""
+
+    def __init__(self, depth: int, tries: int = 2, broken: bool = False) -> None:
+        self.depth, self.tries, self.broken = depth, tries, broken
+        self.steps: dict[tuple[int, bytes], tuple[list[Prepare | Accept], Outcome | None]] = {}
+        self.seen: dict[bytes, int] = {}  # a state: how many events it was followed for
+        self.states = 0
+        self.ends: set[tuple[Result | None, ...]] = set()
+        self.wrong: list[State] = []
+
+    def asks(self, side: int, resumed: tuple[Votes, ...]) -> tuple[list[Prepare | Accept], Outcome | None]:
+        """All requests that a proposer has made after being resumed so, and its outcome if it has ended."""
+        key = (side, PACK.encode(resumed))
+        if key not in self.steps:
+            call = Proposer(f"p{side}", 3, lambda: 0.5, tries=self.tries).change("k", NOTHING, b"%d" % side)
+            asked: list[Prepare | Accept] = []
+            outcome = None
+            try:
+                step: Round | Pause = next(call)
+                waiting = list(resumed)
+                while True:
+                    if isinstance(step, Pause):
+                        step = call.send([])
+                        continue
+                    if not isinstance(step.ask, Prepare | Accept):
+                        raise AssertionError("a change glances at nothing")
+                    asked.append(step.ask)
+                    if not waiting:
+                        break
+                    step = call.send(list(waiting.pop(0)))
+            except StopIteration as end:
+                outcome = end.value
+            self.steps[key] = asked, outcome
+        return self.steps[key]
+
+    def run(self) -> Walk:
+        sides = tuple(self._began(i, Side(), 0) for i in range(2))
+        self._from((None, None, None), sides, self.depth)
+        return self
+
+    def _began(self, number: int, side: Side, before: int) -> Side:
+        asked, _ = self.asks(number, side.resumed)
+        new = tuple((i, name) for i in range(before, len(asked)) for name in NAMES)
+        return Side(side.resumed, (), side.sent + new)
+
+    def _from(self, slots: Slots, sides: tuple[Side, ...], left: int) -> None:
+        key = PACK.encode((slots, [(s.resumed, sorted(s.votes, key=_name), sorted(s.sent)) for s in sides]))
+        if self.seen.get(key, -1) >= left:
+            return
+        if key not in self.seen:
+            self.states += 1
+        self.seen[key] = left
+        results = tuple(outcome.result if outcome else None
+                        for outcome in (self.asks(i, s.resumed)[1] for i, s in enumerate(sides)))
+        self.ends.add(results)
+        if results == (Result.DONE, Result.DONE):
+            self.wrong.append((slots, sides))
+            return
+        if left == 0 or self.wrong:
+            return
+        for number, side in enumerate(sides):
+            asked, outcome = self.asks(number, side.resumed)
+            for i, name in side.sent:
+                place = NAMES.index(name)
+                vote, slot = self._take(slots[place], name, asked[i])
+                after = (*slots[:place], slot, *slots[place + 1:])
+                rest = Side(side.resumed, side.votes, tuple(one for one in side.sent if one != (i, name)))
+                self._go(after, sides, number, rest, left)  # the vote is lost, or too late
+                if outcome is None and i == len(asked) - 1:
+                    heard = Side(rest.resumed, (*rest.votes, vote), rest.sent)
+                    step = Round(asked[i], 2)
+                    if step.settled(heard.votes) or len(heard.votes) == 3:
+                        heard = self._resumed(number, heard, len(asked))
+                    self._go(after, sides, number, heard, left)
+            if outcome is None:
+                self._go(slots, sides, number, self._resumed(number, side, len(asked)), left)
+
+    def _resumed(self, number: int, side: Side, before: int) -> Side:
+        votes = tuple(sorted(side.votes, key=_name))
+        return self._began(number, Side((*side.resumed, votes), (), side.sent), before)
+
+    def _go(self, slots: Slots, sides: tuple[Side, ...], number: int, side: Side, left: int) -> None:
+        self._from(slots, (*sides[:number], side, *sides[number + 1:]), left - 1)
+
+    def _take(self, slot: Slot | None, name: str, ask: Prepare | Accept) -> tuple[Vote, Slot | None]:
+        memory = Memory("", name, 0, {} if slot is None else {"k": slot}, {}, list(NAMES))
+        if self.broken and slot is not None:
+            memory.slots["k"] = Slot(type(slot.promised)(), slot.accepted, slot.record)
+        voter = Voter(name, [n for n in NAMES if n != name], memory, lambda _: True)
+        (vote,) = voter.answers([ask])
+        if vote is None:
+            raise AssertionError("this voter votes")
+        return vote, memory.slots.get("k")
