--- a/rig/several/judge.py
+++ b/rig/several/judge.py
@@ -57,6 +57,18 @@
             lost += last - len({one.step for one in self.taken if one.duty == duty})
         return lost
 
+    def figures(self) -> dict[str, float]:
+        """What it counted, by the names that results have."""
+        return {
+            "owners_at_once": self.owners_at_once(),
+            "late_effects_offered": self.late_offered,
+            "late_effects_taken": self.late_taken,
+            "steps": sum(self.last.values()),
+            "steps_again_offered": self.again_offered,
+            "steps_lost": self.steps_lost(),
+            "steps_twice": self.steps_twice,
+        }
+
     def owners_at_once(self) -> int:
         """The most owners of one duty that effects were taken from at one time."""
         return at_once([(one.at, one.duty, f"{one.owner} {one.epoch}") for one in self.taken])
--- a/rig/several/owners.py
+++ b/rig/several/owners.py
@@ -268,13 +268,7 @@
         last = {name: max((t.at for t in resource.taken if t.duty == name), default=0.0) for name in names}
         figures: dict[str, float] = {
             "acting_at_once": at_once(self.acted),
-            "owners_at_once": resource.owners_at_once(),
-            "late_effects_offered": resource.late_offered,
-            "late_effects_taken": resource.late_taken,
-            "steps": sum(resource.last.values()),
-            "steps_again_offered": resource.again_offered,
-            "steps_lost": resource.steps_lost(),
-            "steps_twice": resource.steps_twice,
+            **resource.figures(),
             "takeover_s": round(p95 / 1000.0, 3),
             "unowned_share": round(unowned / ((scene.length - 4000.0) * len(names)), 4),
             "owner_changes": len(changes),
--- a/rig/sockets/owners.py
+++ b/rig/sockets/owners.py
@@ -294,13 +294,7 @@
                    for a, b in pairwise([t for t in resource.taken if t.duty == duty]) if a.owner != b.owner]
         changes.sort()
         figures: dict[str, float] = {
-            "owners_at_once": resource.owners_at_once(),
-            "late_effects_offered": resource.late_offered,
-            "late_effects_taken": resource.late_taken,
-            "steps": sum(resource.last.values()),
-            "steps_again_offered": resource.again_offered,
-            "steps_lost": resource.steps_lost(),
-            "steps_twice": resource.steps_twice,
+            **resource.figures(),
             "takeover_s": round(changes[int(0.95 * (len(changes) - 1))] / 1000.0, 3) if changes else 0.0,
             "unowned_share": round(unowned / ((end - began) * len(self.duties)), 4),
             "owner_changes": len(changes),
