A voter's letters become replies in one place, for the actor and for the virtual clock

Need: the actor and the rig's voter each sorted letters and votes by themselves, so the plays on the virtual clock did not run the code that serves; the rig's copy lacked the check that nobody speaks for another voter. Two tests built the same stand-ins, and one method of the members was called by nothing. Change: `calls.replies` is called by both; `surroundings()` serves both tests; `Members.address` is gone.

--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -21,11 +21,13 @@
 from myrtlecrank.fleet.members.decide import Pace
 from myrtlecrank.fleet.members.words import Rumour, State
 from myrtlecrank.fleet.owner.decide import Terms, member_of
+from myrtlecrank.fleet.register.calls import Letter as VoterLetter
+from myrtlecrank.fleet.register.calls import replies
 from myrtlecrank.fleet.register.decide import Voter
 from myrtlecrank.fleet.register.disk import Disk, TornError, encode
-from myrtlecrank.fleet.register.words import Accept, Glance, Known, Memory, Prepare, Rejoin
+from myrtlecrank.fleet.register.words import Memory
 from myrtlecrank.fleet.watch.words import Gauges
-from myrtlecrank.fleet.words import Asked, Message, Report, Row, StepDown, Tell, Voted
+from myrtlecrank.fleet.words import Message, Report, Row, StepDown, Tell
 
 MAILBOX = 4096
 REJOIN_MS = 500.0
@@ -78,7 +80,7 @@
 
     def __init__(self, bounds: Bounds, name: str, send: Callable[[str, Message], None]) -> None:
         self.send = send
-        self.mailbox: Mailbox[tuple[str, Asked | Rejoin | Known]] = Mailbox(MAILBOX)
+        self.mailbox: Mailbox[tuple[str, VoterLetter]] = Mailbox(MAILBOX)
         self.disk = Disk(bounds.folder, bounds.name, name)
         memory = None
         try:
@@ -106,7 +108,7 @@
                        "takes writes again" if kept else "refuses a write: it says nothing until it does")
         return kept
 
-    def put(self, sender: str, message: Asked | Rejoin | Known) -> None:
+    def put(self, sender: str, message: VoterLetter) -> None:
         if len(self.mailbox) < MAILBOX:  # else dropped, as the link would
             self.mailbox.post((sender, message))
 
@@ -120,22 +122,12 @@
                     self.send(other, asked)
             self._turn(self.mailbox.take(None if asked is None else max(1.0, due - mono_ms())))
 
-    def _turn(self, letters: list[tuple[str, Asked | Rejoin | Known]]) -> None:
-        questions: list[tuple[str, Asked, Prepare | Accept | Glance]] = []
-        for sender, message in letters:
-            if isinstance(message, Asked):
-                questions.append((sender, message, message.ask))
-            elif isinstance(message, Rejoin):
-                if sender == message.voter and (known := self.voter.asked(message)) is not None:
-                    self.send(sender, known)
-            elif sender == message.voter and not self.voter.voting and self.voter.told(message):
-                logger.info("this voter votes again, boot {}", self.voter.memory.boot)
-        if not questions:
-            return
-        votes = self.voter.answers(ask for _, _, ask in questions)
-        for (sender, asked, _), vote in zip(questions, votes, strict=True):
-            if vote is not None:
-                self.send(sender, Voted(asked.call, asked.round, vote))
+    def _turn(self, letters: list[tuple[str, VoterLetter]]) -> None:
+        voted = self.voter.voting
+        for to, message in replies(self.voter, letters):
+            self.send(to, message)
+        if self.voter.voting and not voted:
+            logger.info("this voter votes again, boot {}", self.voter.memory.boot)
 
 
 class FleetActor:
@@ -174,7 +166,7 @@
 
     def heard(self, sender: str, message: Message) -> None:
         """Waits for room, which holds the one link that it came by."""
-        if isinstance(message, Asked | Rejoin | Known):
+        if isinstance(message, VoterLetter):
             if self.voter is not None:
                 self.voter.put(sender, message)
         else:
@@ -183,7 +175,7 @@
     def send(self, to: str, message: Message) -> None:
         if to != self.name:
             self.links.send(to, message)
-        elif isinstance(message, Asked | Rejoin | Known):
+        elif isinstance(message, VoterLetter):
             if self.voter is not None:
                 self.voter.put(to, message)
         else:
--- a/myrtlecrank/fleet/members/decide.py
+++ b/myrtlecrank/fleet/members/decide.py
@@ -89,10 +89,6 @@
     def zones(self) -> dict[str, str]:
         return {self.me.name: self.me.zone} | {name: one.told.zone for name, one in self.members.items()}
 
-    def address(self, name: str) -> tuple[str, int] | None:
-        member = self.members.get(name)
-        return member.told.address if member is not None else self.seeds.get(name)
-
     # -- what this process says of itself
 
     def feel(self, fit: bool) -> None:
--- a/myrtlecrank/fleet/register/calls.py
+++ b/myrtlecrank/fleet/register/calls.py
@@ -1,18 +1,39 @@
-"""Carries the calls of a proposer: rounds out, votes in, time-outs. Free of I/O and clocks; what is to be
-sent goes through a function."""
+"""What is carried between proposers and voters: a proposer's rounds out, votes in, time-outs; a voter's
+letters in and its replies. Free of I/O and clocks."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from myrtlecrank.fleet.register.decide import Call, Pause, Round
-from myrtlecrank.fleet.register.words import Outcome, Vote
-from myrtlecrank.fleet.words import Asked, Voted
+from myrtlecrank.fleet.register.decide import Call, Pause, Round, Voter
+from myrtlecrank.fleet.register.words import Known, Outcome, Rejoin, Vote
+from myrtlecrank.fleet.words import Asked, Message, Voted
 
+Letter = Asked | Rejoin | Known  # what a voter is sent
 Done = Callable[[Outcome, float], None]
 
 
+def replies(voter: Voter, letters: Iterable[tuple[str, Letter]]) -> list[tuple[str, Message]]:
+    """What a voter says to letters that came together, by sender: all votes under one flush. Nobody may speak
+    for another voter."""
+    said: list[tuple[str, Message]] = []
+    questions: list[tuple[str, Asked]] = []
+    for sender, letter in letters:
+        if isinstance(letter, Asked):
+            questions.append((sender, letter))
+        elif sender != letter.voter:
+            continue
+        elif isinstance(letter, Known):
+            voter.told(letter)
+        elif (known := voter.asked(letter)) is not None:
+            said.append((sender, known))
+    votes = voter.answers(asked.ask for _, asked in questions)
+    said += [(sender, Voted(asked.call, asked.round, vote))
+             for (sender, asked), vote in zip(questions, votes, strict=True) if vote is not None]
+    return said
+
+
 @dataclass(slots=True)
 class Pending:
     call: Call
--- a/rig/several/history.py
+++ b/rig/several/history.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from myrtlecrank.fleet.register.calls import Calls
+from myrtlecrank.fleet.register.calls import Calls, Letter
 from myrtlecrank.fleet.register.decide import Proposer
 from myrtlecrank.fleet.register.disk import encode
-from myrtlecrank.fleet.register.words import NOTHING, Known, Memory, Outcome, Record, Rejoin, Result
-from myrtlecrank.fleet.words import Asked, Message, Voted
+from myrtlecrank.fleet.register.words import NOTHING, Memory, Outcome, Record, Result
+from myrtlecrank.fleet.words import Message, Voted
 from rig.several.judge import Op, linearizable
 from rig.several.member import PACKED, UNPACK, Disk, VoterHost
 from rig.several.world import Host, World
@@ -41,7 +41,7 @@
         self.disk.die(self.play.world.random.random() < 0.5)
 
     def heard(self, sender: str, message: Any) -> None:
-        if self.voter is not None and isinstance(message, Asked | Rejoin | Known):
+        if self.voter is not None and isinstance(message, Letter):
             self.voter.ask(sender, message)
 
 
--- a/rig/several/member.py
+++ b/rig/several/member.py
@@ -4,16 +4,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 
 from myrtlecrank.fleet.decide import Effect, Fleet, Plan
 from myrtlecrank.fleet.members.words import Rumour, State
+from myrtlecrank.fleet.register.calls import Letter, replies
 from myrtlecrank.fleet.register.decide import Voter
 from myrtlecrank.fleet.register.disk import decode, encode
-from myrtlecrank.fleet.register.words import Known, Memory, Rejoin
-from myrtlecrank.fleet.words import Asked, Message, Voted
+from myrtlecrank.fleet.register.words import Known, Memory
+from myrtlecrank.fleet.words import Message
 from rig.several.world import Host, World
 
 PACKED = msgspec.msgpack.Encoder()
@@ -47,7 +47,7 @@
         self.host, self.disk, self.send, self.flush_ms = host, disk, send, flush_ms
         memory = decode(disk.image) if disk.image is not None else None
         self.voter = Voter(host.name, others, memory, self._keep, whole=trusted)
-        self.waiting: list[tuple[str, Any]] = []
+        self.waiting: list[tuple[str, Letter]] = []
         self.busy = False
         if not self.voter.voting:
             self._rejoin()
@@ -65,36 +65,28 @@
                 self.send(other, asked)
             self.host.later(self.host.world.now + REJOIN_MS, self._rejoin)
 
-    def ask(self, sender: str, asked: Asked | Rejoin | Known) -> None:
+    def ask(self, sender: str, asked: Letter) -> None:
         self.waiting.append((sender, asked))
         if not self.busy:
             self._turn()
 
     def _turn(self) -> None:
         taken, self.waiting = self.waiting, []
-        questions = [(who, one) for who, one in taken if isinstance(one, Asked)]
-        replies: list[tuple[str, Message]] = []
-        for who, one in taken:
-            if isinstance(one, Rejoin):
-                known = self.voter.asked(one)
-                if known is not None:
-                    # A copy: what is sent must not change with the memory.
-                    replies.append((who, UNPACK.decode(PACKED.encode(known))))
-            elif isinstance(one, Known):
-                self.voter.told(one)
-        votes = self.voter.answers(one.ask for _, one in questions)
-        replies += [(who, Voted(one.call, one.round, vote))
-                    for (who, one), vote in zip(questions, votes, strict=True) if vote is not None]
+        # A copy of a memory that is told: what is sent must not change with it.
+        said: list[tuple[str, Message]] = [
+            (to, UNPACK.decode(PACKED.encode(message)) if isinstance(message, Known) else message)
+            for to, message in replies(self.voter, taken)
+        ]
         self.busy = True
-        self.host.later(self.host.world.now + self.flush_ms, lambda: self._flushed(replies))
+        self.host.later(self.host.world.now + self.flush_ms, lambda: self._flushed(said))
 
-    def _flushed(self, replies: list[tuple[str, Message]]) -> None:
+    def _flushed(self, said: list[tuple[str, Message]]) -> None:
         self.busy = False
         if self.disk.writing is not None:
             if self.disk.image is not None and self.host.world.random.random() < 0.02:
                 self.disk.copies.append(self.disk.image)
             self.disk.image, self.disk.writing = self.disk.writing, None
-        for to, message in replies:
+        for to, message in said:
             self.send(to, message)
         if self.waiting:
             self._turn()
@@ -146,7 +138,7 @@
 
     def heard(self, sender: str, raw: bytes) -> None:
         message = UNPACK.decode(raw)
-        if isinstance(message, Asked | Rejoin | Known):
+        if isinstance(message, Letter):
             if self.voter is not None:
                 self.voter.ask(sender, message)
             return
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -136,8 +136,8 @@
     assert process.returncode == 1 and "cannot listen" in err and err.count("\n") == 1
 
 
-def test_a_whole_exchange_and_a_whole_drain(tmp_path: Path) -> None:
-    """One process between stand-ins of its own: start, one answer, notice to leave, exit with 0."""
+def surroundings() -> tuple[socket.socket, socket.socket, tuple[str, int], dict[str, Any]]:
+    """Listeners in the place of agent and list, a free address, and a configuration that names them."""
     agent, roll = socket.socket(), socket.socket()
     for listener in (agent, roll):
         listener.bind(("127.0.0.1", 0))
@@ -146,6 +146,12 @@
     address = free_address()
     told = copy.deepcopy(WHOLE) | {"listen": f"{address[0]}:{address[1]}"}
     told["agent"], told["members"] = (f"127.0.0.1:{s.getsockname()[1]}" for s in (agent, roll))
+    return agent, roll, address, told
+
+
+def test_a_whole_exchange_and_a_whole_drain(tmp_path: Path) -> None:
+    """One process between stand-ins of its own: start, one answer, notice to leave, exit with 0."""
+    agent, roll, address, told = surroundings()
     process = start(tmp_path, told, "serve")
     try:
         link = agent.accept()[0]
--- a/tests/test_run_line.py
+++ b/tests/test_run_line.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import copy
 import json
 import os
 import shutil
@@ -11,11 +10,9 @@
 import sys
 import tomllib
 from pathlib import Path
-from typing import Any
 
 import pytest
-from gevent import socket
-from test_program import WHOLE, free_address
+from test_program import surroundings
 
 ROOT = Path(__file__).resolve().parent.parent
 TRACE_VARIABLE = "AUDIT_TRACE"
@@ -88,14 +85,7 @@
     tree: Path, tmp_path: Path
 ) -> None:
     line = tomllib.loads((tree / "deploy" / "balancer.toml").read_text())["run"]
-    agent, roll = socket.socket(), socket.socket()
-    for listener in (agent, roll):
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        listener.settimeout(60)
-    address = free_address()
-    told: dict[str, Any] = copy.deepcopy(WHOLE) | {"listen": f"{address[0]}:{address[1]}"}
-    told["agent"], told["members"] = (f"127.0.0.1:{s.getsockname()[1]}" for s in (agent, roll))
+    agent, roll, _, told = surroundings()
     config = tmp_path / "config.json"
     config.write_text(json.dumps(told))
     process = subprocess.Popen(["/bin/sh", "-c", line], cwd=tree, stderr=subprocess.PIPE, text=True,
