Voters are replaced while the fleet runs, by way of a joint roster and seats

Joint consensus was taken rather than one voter more and one less: sets stay odd and any list can follow any other. Change: `register/roster.py` (numbers, seats, majorities of both sets), `register/reseat.py` (enlist, joint roster, every key written once more under it, the new roster), voters that answer under the newest roster they know alone, carriers that teach the ones behind; a change left half-way is ended by any member that knows of it; `fleet voters`, `fleet replace-voters`. Memory files of version 1 are read.

--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 import uuid
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 
 import gevent
 from gevent import get_hub
+from gevent.event import AsyncResult
 from loguru import logger
 
 from myrtlecrank.core.board import Board
@@ -25,12 +27,14 @@
 from myrtlecrank.fleet.register.calls import replies
 from myrtlecrank.fleet.register.decide import Voter
 from myrtlecrank.fleet.register.disk import Disk, TornError, encode
-from myrtlecrank.fleet.register.words import Memory
+from myrtlecrank.fleet.register.reseat import Reseated
+from myrtlecrank.fleet.register.words import Memory, Seated
 from myrtlecrank.fleet.watch.words import Gauges
-from myrtlecrank.fleet.words import Message, Report, Row, StepDown, Tell
+from myrtlecrank.fleet.words import Message, Report, Reseat, Row, StepDown, Tell
 
 MAILBOX = 4096
 REJOIN_MS = 500.0
+RESEAT_S = 20.0  # how long an operator waits for voters to be replaced
 FORGET_MS = 3_600_000.0
 WARM = 0.5  # of the machine: below it no duty is taken
 
@@ -78,25 +82,19 @@
     """Owns the voter and its file. Disk work goes to a thread and holds this actor alone, never the loop;
     what comes meanwhile goes together under the next flush."""
 
-    def __init__(self, bounds: Bounds, name: str, send: Callable[[str, Message], None]) -> None:
+    def __init__(self, bounds: Bounds, name: str, start: str, send: Callable[[str, Message], None]) -> None:
         self.send = send
         self.mailbox: Mailbox[tuple[str, VoterLetter]] = Mailbox(MAILBOX)
         self.disk = Disk(bounds.folder, bounds.name, name)
         memory = None
         try:
             memory = self.disk.load()
-            if memory is None:
+            if memory is None and name in bounds.voters:
                 logger.warning("this voter has no memory: it abstains until all others have told it theirs "
                                "(a new fleet is begun by `myrtlecrank fleet found`)")
         except TornError as error:
             logger.error("this voter's memory {}: it abstains until all others have told it theirs", error)
-        others = [one for one in bounds.voters if one != name]
-        self.voter = Voter(name, others, memory, self._keep, bounds.name, bounds.trust_disk)
-        if self.voter.stranger and memory is not None:
-            logger.error("this voter's memory is of the voters {}; the operators' file names others: it says "
-                         "nothing", ", ".join(memory.voters))
-        elif not others and memory is not None:
-            self.voter.voting = True  # the only voter has nobody to ask
+        self.voter = Voter(name, bounds.voters, memory, self._keep, bounds.name, bounds.trust_disk, start)
         self.full = False
 
     def _keep(self, memory: Memory) -> bool:
@@ -123,11 +121,16 @@
             self._turn(self.mailbox.take(None if asked is None else max(1.0, due - mono_ms())))
 
     def _turn(self, letters: list[tuple[str, VoterLetter]]) -> None:
-        voted = self.voter.voting
-        for to, message in replies(self.voter, letters):
+        voter = self.voter
+        voted, seated, seat = voter.voting, voter.seated, voter.memory.seat
+        for to, message in replies(voter, letters):
             self.send(to, message)
-        if self.voter.voting and not voted:
-            logger.info("this voter votes again, boot {}", self.voter.memory.boot)
+        if voter.voting and not voted:
+            logger.info("this voter votes again, boot {}", voter.memory.boot)
+        elif seated and not voter.seated:
+            logger.info("this member votes no longer")
+        elif seat != voter.memory.seat and not voter.seated:
+            logger.info("this member is enlisted as a voter, with an empty memory")
 
 
 class FleetActor:
@@ -142,7 +145,8 @@
         start = uuid.uuid4().hex[:16]
         self.fleet = Fleet(me, start, addresses, plan_of(bounds), Random(seed).random, mono_ms())
         self.links = Links(bounds.name, name, addresses, bounds.queue, self.heard, self.asked)
-        self.voter = VoterActor(bounds, name, self.send) if name in bounds.voters else None
+        # Whoever has a folder may be made a voter while it runs.
+        self.voter = VoterActor(bounds, name, start, self.send) if bounds.folder else None
         self.receivers = {one: Receiver(address(duty.to) or ("", 0), self.fleet.ident)
                           for one, duty in bounds.duties.items()}
         self.away_since: float | None = None  # since when the register has not answered
@@ -166,10 +170,9 @@
 
     def heard(self, sender: str, message: Message) -> None:
         """Waits for room, which holds the one link that it came by."""
-        if isinstance(message, VoterLetter):
-            if self.voter is not None:
-                self.voter.put(sender, message)
-        else:
+        if isinstance(message, VoterLetter) and self.voter is not None:
+            self.voter.put(sender, message)
+        if isinstance(message, Seated) or not isinstance(message, VoterLetter):
             self.mailbox.put(Heard(sender, message))
 
     def send(self, to: str, message: Message) -> None:
@@ -216,6 +219,9 @@
             for line in duty.changes:
                 logger.info("fleet duty {}: {}", duty.name, line)
             duty.changes.clear()
+        for line in self.fleet.changed:
+            logger.info("fleet register: {}", line)
+        self.fleet.changed.clear()
         self._look_at_register()
 
     def _look_at_register(self) -> None:
@@ -253,6 +259,8 @@
                 return Report([], "no other member is fit to take it")
             self.mailbox.wake()
             return Report([{"duty": message.duty, "given_up_by": self.name}])
+        if isinstance(message, Reseat):
+            return self._reseat(message)
         if not isinstance(message, Tell):
             return Report([], "not understood")
         if message.what == "members":
@@ -264,15 +272,35 @@
             return Report(rows, "" if rows else "the fleet's view is unknown here: none has come of late")
         if message.what == "register":
             return Report(self._register())
-        return Report([], f"{message.what[:60]!r} is not known; there are members, owners, view and register")
+        if message.what == "voters":
+            return Report(list(fleet.rows_of_voters()))
+        known = "members, owners, view, voters and register"
+        return Report([], f"{message.what[:60]!r} is not known; there are {known}")
+
+    def _reseat(self, message: Reseat) -> Report:
+        """Waits for its end, which holds this one operator's connection; it goes on where the operator
+        hangs up."""
+        ended: AsyncResult[Reseated] = AsyncResult()
+        strange = [one for one in message.add if one not in self.bounds.members]
+        if strange:
+            names = ", ".join(sorted(self.bounds.members))
+            return Report([], f"{strange[0][:60]!r} is no member; there are {names}")
+        if not self.fleet.reseat(message.drop, message.add, ended.set, mono_ms()):
+            return Report([], "a change of voters is under way from this member already")
+        self.mailbox.wake()
+        how = None
+        with contextlib.suppress(gevent.Timeout):
+            how = ended.get(timeout=RESEAT_S)
+        if how is None:
+            return Report([], "it takes long and goes on; `fleet voters` shows how far it is")
+        return Report(list(self.fleet.rows_of_voters()), how.wrong)
 
     def _register(self) -> list[Row]:
         voter = self.voter.voter if self.voter is not None else None
-        if voter is None:
-            return [{"voter": None, "voters": ", ".join(self.bounds.voters), "answers": self.fleet.reached}]
-        state = f"abstains, heard {len(voter.heard)} of {len(voter.others)}"
-        if voter.voting or voter.stranger:
-            state = "votes" if voter.voting else "of other voters"
+        if voter is None or not voter.seated:
+            names = ", ".join(self.fleet.proposer.roster.names)
+            return [{"voter": None, "voters": names, "answers": self.fleet.reached}]
+        state = "votes" if voter.voting else f"abstains, heard {len(voter.heard)} of {len(voter.others)}"
         memory = voter.memory
         return [{"voter": self.name, "state": state, "boot": memory.boot, "keys": len(memory.slots),
                  "disk": not voter.failed, "answers": self.fleet.reached}]
--- a/myrtlecrank/fleet/command.py
+++ b/myrtlecrank/fleet/command.py
@@ -14,9 +14,10 @@
 from myrtlecrank.fleet.bounds import Bounds, address
 from myrtlecrank.fleet.links import OPERATOR, Reader, RefusedError, packed
 from myrtlecrank.fleet.register.disk import Disk
-from myrtlecrank.fleet.words import VERSION, Hello, Message, Report, Row, StepDown, Tell
+from myrtlecrank.fleet.words import VERSION, Hello, Message, Report, Reseat, Row, StepDown, Tell
 
 WAIT_S = 3.0
+RESEAT_S = 25.0  # the member gives up its own wait before
 
 
 def table(rows: list[Row]) -> str:
@@ -39,6 +40,8 @@
 def ask(bounds: Bounds, at: str, question: Message) -> Report:
     """Raises OSError or RefusedError where the member does not answer."""
     sock = socket.create_connection(address(bounds.members[at].at) or ("", 0), timeout=WAIT_S)
+    if isinstance(question, Reseat):
+        sock.settimeout(RESEAT_S)
     try:
         sock.sendall(packed(Hello(VERSION, bounds.name, OPERATOR)) + packed(question))
         reader = Reader(sock)
@@ -96,6 +99,7 @@
     teller("members", "Who is there, as one member sees it.")
     teller("owners", "The duties: owner, epoch, last recorded step.")
     teller("view", "The members' gauges as the fleet's watcher gathered them.")
+    teller("voters", "Who votes, and whether that is changing.")
     teller("register", "Whether a voter votes, and whether the register answers.")
 
     @fleet.command("step-down")
@@ -106,6 +110,20 @@
         """Has the owner give DUTY to another that is fit."""
         shown(bounds_of(operators_file), at, StepDown(duty), False)
 
+    @fleet.command("replace-voters")
+    @click.option("--drop", metavar="NAME", multiple=True, help="Votes no longer. May be given again.")
+    @click.option("--add", metavar="NAME", multiple=True, help="Votes from now on, from an empty memory.")
+    @at
+    @operators
+    def replace_voters(
+        drop: tuple[str, ...], add: tuple[str, ...], at: str | None, operators_file: str | None
+    ) -> None:
+        """Replaces voters while the fleet runs; afterwards the list in the operators' file is to be changed.
+
+        One that is dropped and added at once begins anew, for a voter whose memory is lost. With neither, a
+        change that stands half-way is ended."""
+        shown(bounds_of(operators_file), at, Reseat(list(drop), list(add)), False)
+
     @fleet.command()
     @click.argument("name")
     @operators
--- a/myrtlecrank/fleet/decide.py
+++ b/myrtlecrank/fleet/decide.py
@@ -4,7 +4,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+import math
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from myrtlecrank.fleet.members.decide import Members, Pace
@@ -12,7 +13,9 @@
 from myrtlecrank.fleet.owner.decide import Duty, Look, Put, Terms, member_of, rebalance
 from myrtlecrank.fleet.register.calls import Calls
 from myrtlecrank.fleet.register.decide import Proposer
-from myrtlecrank.fleet.register.words import Outcome, Result
+from myrtlecrank.fleet.register.reseat import Reseated, reseat
+from myrtlecrank.fleet.register.roster import Roster, guessed
+from myrtlecrank.fleet.register.words import Outcome, Result, Seated
 from myrtlecrank.fleet.watch.decide import DUTY as WATCH
 from myrtlecrank.fleet.watch.decide import Watch
 from myrtlecrank.fleet.watch.words import Gauges, Told, Watched
@@ -65,6 +68,13 @@
     watch: float = 0.0  # ms between two views of the fleet; 0: there are none
 
 
+def voters_line(roster: Roster) -> str:
+    if not roster.joint:
+        return f"the voters are {', '.join(roster.names)} (roster {roster.number})"
+    old, new = (", ".join(sorted(one)) for one in roster.sets)
+    return f"the voters change from {old} to {new} (roster {roster.number})"
+
+
 class Fleet:
     """`start` names this start of the process and no other one, ever: a ballot or a lease of an earlier start
     must not look like ours. `chance` gives 0 to 1."""
@@ -76,8 +86,14 @@
         self.out: list[tuple[str, Message]] = []
         self.effects: list[Effect] = []
         self.members = Members(me, seeds, plan.pace, chance, now)
-        self.proposer = Proposer(self.ident, len(plan.voters), chance)
-        self.calls = Calls(plan.voters, plan.reply, lambda to, asked: self.out.append((to, asked)))
+        self.proposer = Proposer(self.ident, guessed(plan.voters), chance)
+        self.calls = Calls(plan.reply, lambda to, asked: self.out.append((to, asked)))
+        self.chance = chance
+        self.told = self.proposer.roster  # the newest that the others were told of
+        self.changing = False  # voters are being replaced from here
+        self.changes = 0
+        self.changed: list[str] = []  # for the log; whoever reads them empties it
+        self.settle_due = math.inf  # when a change that stands half-way is ended from here
         self.duties = {work.name: Duty(work.name, self.ident, plan.terms) for work in plan.works}
         self.doing = {work.name: Doing() for work in plan.works}
         self.gauges = Gauges()  # this backend's own, as last told
@@ -105,6 +121,8 @@
                 self.out.append((sender, answer))
         elif isinstance(message, Told):
             self.watch.told(sender, message, now)
+        elif isinstance(message, Seated):
+            self.proposer.seated(message.roster)
         elif isinstance(message, Offered) and message.duty in self.duties:
             self.duties[message.duty].due = now
 
@@ -135,13 +153,15 @@
         duties = [max(one.due, 0.0) for one in self.duties.values() if one.asked is None]
         ends = [one.until for one in self.duties.values() if one.epoch is not None]
         views = [self.watch.due] if self.watch.epoch is not None else []
-        return min([self.members.due(), self.calls.due(), self.even_due, *works, *duties, *ends, *views])
+        own = [self.members.due(), self.calls.due(), self.even_due, self.settle_due]
+        return min([*own, *works, *duties, *ends, *views])
 
     def tick(self, now: float) -> None:
         # First what has run out: a process that wakes after a pause must do nothing before it has looked.
         owned = len(self.owned(now))
         self.calls.tick(now)
         self.out += self.members.tick(now)
+        self._look_at_roster(now)
         fit = self.members.me.fit and not self.leaving
         for duty in self.duties.values():
             asked = duty.want(now, fit, owned)
@@ -184,6 +204,49 @@
             self.duties[name].give_up(heir)
         return bool(heir)
 
+    # -- the voters
+
+    def _look_at_roster(self, now: float) -> None:
+        """Whoever learns of a newer roster tells the others, once: a hint, as the voters tell whoever
+        asks. One that stands half-way is ended by any that knows of it, not all in one instant."""
+        roster = self.proposer.roster
+        if roster.number > self.told.number:
+            known, self.told = self.told.number >= 0, roster
+            if known or roster.joint:
+                names = sorted({*self.members.there(), *roster.names})
+                self.out += [(name, Seated(roster)) for name in names]
+            self.changed.append(voters_line(roster))
+            self.settle_due = self._settle_at(now) if roster.joint else math.inf
+        if now >= self.settle_due:
+            self.settle_due = self._settle_at(now)
+            self.reseat((), (), lambda _: None, now)
+
+    def _settle_at(self, now: float) -> float:
+        return now + self.plan.terms.wait * (2.0 + 4.0 * self.chance())
+
+    def reseat(
+        self, drop: Iterable[str], add: Iterable[str], done: Callable[[Reseated], None], now: float
+    ) -> bool:
+        """Replaces voters; False where a change is under way from here already. `done` hears how it ended."""
+        if self.changing:
+            return False
+        self.changing, self.changes = True, self.changes + 1
+
+        def ended(how: Reseated, _: float) -> None:
+            self.changing = False
+            done(how)
+
+        token = f"{self.ident}:{self.changes}"
+        self.calls.start(reseat(self.proposer, drop, add, token), ended, now)
+        return True
+
+    def rows_of_voters(self) -> Iterator[Row]:
+        roster = self.proposer.roster
+        for name in roster.names:
+            yield {"voter": name, "roster": roster.number, "seat": roster.seat(name) or "founder",
+                   "state": "votes" if all(name in one for one in roster.sets)
+                   else "comes" if name in roster.sets[-1] else "goes"}
+
     # -- what operators see
 
     def rows_of_members(self, now: float) -> Iterator[Row]:
@@ -215,7 +278,10 @@
         duty, doing = self.duties[work.name], self.doing[work.name]
         epoch = duty.owns(now)
         if epoch is None:
-            doing.until = None
+            if doing.until is not None:
+                # Not done, as far as is known: were it left as it is, a lease that is found to stand
+                # after all would wait for ever for its record.
+                doing.until, doing.step = None, doing.step - 1
             return
         if doing.epoch != epoch:
             self.doing[work.name] = doing = Doing(epoch, now, duty.recorded())
--- a/myrtlecrank/fleet/register/calls.py
+++ b/myrtlecrank/fleet/register/calls.py
@@ -3,15 +3,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Generator, Iterable
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
-from myrtlecrank.fleet.register.decide import Call, Pause, Round, Voter
-from myrtlecrank.fleet.register.words import Known, Outcome, Rejoin, Vote
+from myrtlecrank.fleet.register.decide import Pause, Round, Voter
+from myrtlecrank.fleet.register.roster import GUESS
+from myrtlecrank.fleet.register.words import Known, Rejoin, Seated, Vote
 from myrtlecrank.fleet.words import Asked, Message, Voted
 
-Letter = Asked | Rejoin | Known  # what a voter is sent
-Done = Callable[[Outcome, float], None]
+T = TypeVar("T")
+Letter = Asked | Rejoin | Known | Seated  # what a voter is sent
+Steps = Generator[Round | Pause, list[Vote], T]
 
 
 def replies(voter: Voter, letters: Iterable[tuple[str, Letter]]) -> list[tuple[str, Message]]:
@@ -22,51 +25,74 @@
     for sender, letter in letters:
         if isinstance(letter, Asked):
             questions.append((sender, letter))
+        elif isinstance(letter, Seated):
+            # First the questions that came before it: they were asked under the older roster.
+            said += _votes(voter, questions)
+            questions = []
+            voter.adopt(letter.roster)
         elif sender != letter.voter:
             continue
         elif isinstance(letter, Known):
             voter.told(letter)
         elif (known := voter.asked(letter)) is not None:
             said.append((sender, known))
-    votes = voter.answers(asked.ask for _, asked in questions)
-    said += [(sender, Voted(asked.call, asked.round, vote))
-             for (sender, asked), vote in zip(questions, votes, strict=True) if vote is not None]
-    return said
+    return said + _votes(voter, questions)
+
+
+def _votes(voter: Voter, questions: list[tuple[str, Asked]]) -> list[tuple[str, Message]]:
+    votes = voter.answers((asked.mark, asked.ask) for _, asked in questions)
+    return [(sender, Voted(asked.call, asked.round, vote))
+            for (sender, asked), vote in zip(questions, votes, strict=True) if vote is not None]
 
 
 @dataclass(slots=True)
 class Pending:
-    call: Call
-    done: Done
+    call: Steps[Any]
+    done: Callable[[Any, float], None]
     step: Round | Pause
     round: int = 0
     due: float = 0.0
     votes: dict[str, Vote] = field(default_factory=dict)
+    taught: set[str] = field(default_factory=set)  # voters that were told the roster in this round
 
 
 class Calls:
     """`reply_ms` bounds each round; a call is bounded by its proposer's tries."""
 
-    def __init__(self, voters: Iterable[str], reply_ms: float, send: Callable[[str, Asked], None]) -> None:
-        self.voters, self.reply_ms, self.send = tuple(voters), reply_ms, send
+    def __init__(self, reply_ms: float, send: Callable[[str, Asked | Seated], None]) -> None:
+        self.reply_ms, self.send = reply_ms, send
         self.pending: dict[int, Pending] = {}
+        self.newest = GUESS  # of the rosters that were asked under
         self.number = 0
 
-    def start(self, call: Call, done: Done, now: float) -> None:
+    def start(self, call: Steps[T], done: Callable[[T, float], None], now: float) -> None:
         self.number += 1
         one = Pending(call, done, Pause(0.0))
         self.pending[self.number] = one
         self._go(self.number, one, None, now)
 
     def heard(self, sender: str, voted: Voted, now: float) -> None:
-        one = self.pending.get(voted.call)
-        if one is None or voted.round != one.round or not isinstance(one.step, Round):
-            return
-        if sender not in self.voters or sender != voted.vote.voter:
+        vote = voted.vote
+        if sender != vote.voter:
             return  # a vote counts for the voter that sent it alone
-        one.votes.setdefault(sender, voted.vote)
-        if one.step.settled(one.votes.values()) or len(one.votes) == len(self.voters):
-            self._go(voted.call, one, list(one.votes.values()), now)
+        one, step = self.pending.get(voted.call), None
+        if one is not None and voted.round == one.round and isinstance(one.step, Round):
+            step = one.step if sender in one.step.names else None
+        if vote.roster is not None and vote.roster.number < self.newest.number:
+            self._teach(sender, voted, one if step is not None else None)
+        elif one is not None and step is not None:
+            one.votes.setdefault(sender, vote)
+            if step.settled(one.votes.values()) or len(one.votes) == len(step.names):
+                self._go(voted.call, one, list(one.votes.values()), now)
+
+    def _teach(self, sender: str, voted: Voted, one: Pending | None) -> None:
+        """It has not heard of the roster that it was asked under: told, and asked again once in a round. Told
+        even where the majority did without it, else one slower than the others would never hear."""
+        if one is None or sender not in one.taught:
+            self.send(sender, Seated(self.newest))
+        if one is not None and isinstance(one.step, Round) and sender not in one.taught:
+            one.taught.add(sender)
+            self.send(sender, Asked(voted.call, one.round, one.step.roster.mark(), one.step.ask))
 
     def tick(self, now: float) -> None:
         for number, one in list(self.pending.items()):
@@ -83,10 +109,13 @@
             del self.pending[number]
             one.done(end.value, now)
             return
-        one.round, one.votes = one.round + 1, {}
+        one.round, one.votes, one.taught = one.round + 1, {}, set()
         if isinstance(one.step, Pause):
             one.due = now + one.step.ms
             return
         one.due = now + self.reply_ms
-        for voter in self.voters:
-            self.send(voter, Asked(number, one.round, one.step.ask))
+        mark = one.step.roster.mark()
+        if one.step.roster.number > self.newest.number:
+            self.newest = one.step.roster
+        for voter in one.step.names:
+            self.send(voter, Asked(number, one.round, mark, one.step.ask))
--- a/myrtlecrank/fleet/register/disk.py
+++ b/myrtlecrank/fleet/register/disk.py
@@ -12,14 +12,30 @@
 
 import msgspec
 import xxhash
+from msgspec import Struct
 
-from myrtlecrank.fleet.register.words import Memory
+from myrtlecrank.fleet.register.roster import founding
+from myrtlecrank.fleet.register.words import Memory, Slot
 
-MAGIC, VERSION = b"MCVT", 1
+MAGIC, VERSION, BEFORE = b"MCVT", 2, 1
 HEADER = struct.Struct("<4sHQ16s")  # magic, version, length of what follows, its xxh3-128
 LONGEST = 64 * 1024 * 1024  # bytes; guards against a header that announces more than a voter can have written
 
 
+class MemoryBefore(Struct):
+    """What version 1 held: the founders, and no seats."""
+
+    fleet: str
+    voter: str
+    boot: int
+    slots: dict[str, Slot]
+    boots: dict[str, int]
+    voters: list[str] = []
+
+    def now(self) -> Memory:
+        return Memory(self.fleet, self.voter, self.boot, self.slots, self.boots, founding(self.voters))
+
+
 class TornError(Exception):
     """The file is there and can't be used; the text says why in one line."""
 
@@ -37,13 +53,15 @@
     body = raw[HEADER.size:]
     if magic != MAGIC:
         raise TornError("is no voter's memory")
-    if version != VERSION:
-        raise TornError(f"has version {version}; this program reads {VERSION}")
+    if version not in (VERSION, BEFORE):
+        raise TornError(f"has version {version}; this program reads {VERSION} and {BEFORE}")
     if length != len(body) or xxhash.xxh3_128_digest(body) != digest:
         raise TornError("is torn: its checksum does not fit")
     try:
+        if version == BEFORE:
+            return msgspec.msgpack.decode(body, type=MemoryBefore).now()
         return msgspec.msgpack.decode(body, type=Memory)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         raise TornError(f"does not hold what it should: {error}") from None
 
 
@@ -97,8 +115,8 @@
 
     def found(self, voters: Iterable[str]) -> None:
         """The first memory of a voter of a new fleet, empty. Never by itself: a voter that made its own after
-        a loss would have forgotten. Raises FileExistsError, OSError."""
+        a loss would have forgotten. Raises FileExistsError, OSError, ValueError."""
         if os.path.exists(self.path):
             raise FileExistsError(f"{self.path} is there already")
-        if not self.keep(Memory(self.fleet, self.voter, 0, {}, {}, sorted(voters))):
+        if not self.keep(Memory(self.fleet, self.voter, 0, {}, {}, founding(voters))):
             raise OSError(f"{self.path} cannot be written")
--- a/myrtlecrank/fleet/register/words.py
+++ b/myrtlecrank/fleet/register/words.py
@@ -8,6 +8,8 @@
 
 from msgspec import Struct
 
+from myrtlecrank.fleet.register.roster import GUESS, Roster
+
 
 class Ballot(Struct, frozen=True, order=True):
     """Orders all attempts to change a record. `by` is new with each start of a proposer: a number that two
@@ -49,8 +51,23 @@
     record: Record
 
 
+class Keys(Struct, frozen=True, tag=True):
+    """Which keys does the voter hold anything of?"""
+
+
+class Enlist(Struct, frozen=True, tag=True):
+    """Begin as a new voter, with an empty memory and a seat that no voter ever had. `token` is new with each
+    attempt: what comes twice must not seat it twice."""
+
+    token: str
+
+
+Ask = Prepare | Accept | Glance | Keys | Enlist
+
+
 class Vote(Struct, frozen=True, tag=True):
-    """A voter's answer. Where `granted` is false, `ballot` is the one that stood above.
+    """A voter's answer. Where `granted` is false, `ballot` is the one that stood above, or `roster` the one
+    that the voter goes by where that is another than it was asked under.
 
     `boots` is how often each voter is known to have come up without its memory (see Voter)."""
 
@@ -61,6 +78,9 @@
     accepted: Ballot
     record: Record
     boots: dict[str, int]
+    seat: str = ""
+    roster: Roster | None = None
+    keys: list[str] = []
 
 
 class Slot(Struct):
@@ -88,6 +108,13 @@
     before: int
     slots: dict[str, Slot]
     boots: dict[str, int]
+    roster: Roster = GUESS
+
+
+class Seated(Struct, frozen=True, tag=True):
+    """A roster that was chosen, for whoever goes by an older one."""
+
+    roster: Roster
 
 
 class Memory(Struct):
@@ -98,7 +125,12 @@
     boot: int
     slots: dict[str, Slot]
     boots: dict[str, int]
-    voters: list[str] = []  # all of them, this one too, by name in order
+    roster: Roster = GUESS  # the newest that it has heard of
+    seat: str = ""  # its own; those of the founders are empty
+    token: str = ""  # by which it was enlisted last
+
+
+VOTERS = "fleet/voters"  # the record that holds the roster; no duty of the operators has a slash in its name
 
 
 class Result(Enum):
--- a/myrtlecrank/fleet/words.py
+++ b/myrtlecrank/fleet/words.py
@@ -5,10 +5,10 @@
 from msgspec import Struct
 
 from myrtlecrank.fleet.members.words import Ack, Ping, PingFor, Swap
-from myrtlecrank.fleet.register.words import Accept, Glance, Known, Prepare, Rejoin, Vote
+from myrtlecrank.fleet.register.words import Ask, Known, Rejoin, Seated, Vote
 from myrtlecrank.fleet.watch.words import Told, Watched
 
-VERSION = 1  # of all of this; a peer of another one is refused
+VERSION = 2  # of all of this; a peer of another one is refused
 
 
 class Hello(Struct, frozen=True, tag=True):
@@ -20,11 +20,13 @@
 
 
 class Asked(Struct, frozen=True, tag=True):
-    """A question to a voter. `call` and `round` come back with the vote, by which late ones are known."""
+    """A question to a voter. `call` and `round` come back with the vote, by which late ones are known;
+    `mark` is that of the roster that it is asked under."""
 
     call: int
     round: int
-    ask: Prepare | Accept | Glance
+    mark: str
+    ask: Ask
 
 
 class Voted(Struct, frozen=True, tag=True):
@@ -54,6 +56,13 @@
 Row = dict[str, str | int | float | bool | None]
 
 
+class Reseat(Struct, frozen=True, tag=True):
+    """An operator has voters replaced; both lists empty: has a change that stands half-way ended."""
+
+    drop: list[str]
+    add: list[str]
+
+
 class Report(Struct, frozen=True, tag=True):
     """The answer to an operator: rows for a table, or one line on what is wrong."""
 
@@ -61,5 +70,5 @@
     wrong: str = ""
 
 
-Message = (Watched | Told | Hello | Asked | Voted | Rejoin | Known | Offered | Ping | PingFor | Ack | Swap
-           | Tell | StepDown | Report)
+Message = (Watched | Told | Hello | Asked | Voted | Rejoin | Known | Seated | Offered | Ping | PingFor
+           | Ack | Swap | Tell | StepDown | Reseat | Report)
--- a/rig/several/bugs.py
+++ b/rig/several/bugs.py
@@ -9,6 +9,7 @@
 
 from myrtlecrank.fleet.owner.decide import Lease, Put
 from myrtlecrank.fleet.register.disk import encode
+from myrtlecrank.fleet.register.roster import founding
 from myrtlecrank.fleet.register.words import Memory
 from rig.several.member import Member
 from rig.several.owners import Play
@@ -87,7 +88,8 @@
         def make(start: Any, member: Member = member) -> Any:
             def started(trusted: bool = False) -> None:
                 if member.disk.image is None:
-                    member.disk.image = encode(Memory("", member.name, 0, {}, {}, sorted(play.plan.voters)))
+                    member.disk.image = encode(
+                        Memory("", member.name, 0, {}, {}, founding(play.plan.voters)))
                 start(trusted=True)
 
             return started
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -273,6 +273,21 @@
     assert [round(b - a) for a, b in pairwise(times)] == [50, 100, 200]
 
 
+def test_a_step_under_a_lease_that_ran_out_is_offered_again_where_the_lease_is_found_to_stand() -> None:
+    """Left as under way it would wait for a record that nobody writes."""
+    fleet = owner()
+    duty = fleet.duties["d"]
+    fleet.tick(20.0)
+    (first,) = fleet.effects
+    fleet.effects.clear()
+    duty.due = 1e9
+    fleet.tick(1500.0)
+    assert duty.epoch is None and fleet.doing["d"].until is None
+    duty.epoch, duty.until = 1, 3000.0  # a renewal had come through after all
+    fleet.tick(1600.0)
+    assert [(one.epoch, one.step) for one in fleet.effects] == [(first.epoch, first.step)]
+
+
 def test_an_effect_has_until_its_deadline_or_the_end_of_the_lease() -> None:
     fleet = owner()
     fleet.doing["d"].epoch, fleet.doing["d"].due = 1, 0.0
