--- a/rig/several/history.py
+++ b/rig/several/history.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from myrtlecrank.fleet.register.calls import Calls, Letter
-from myrtlecrank.fleet.register.decide import Proposer
+from myrtlecrank.fleet.register.decide import Call, Proposer
 from myrtlecrank.fleet.register.disk import encode
 from myrtlecrank.fleet.register.reseat import Reseated, reseat
 from myrtlecrank.fleet.register.roster import Roster, founding, guessed
@@ -46,12 +46,50 @@
             self.voter.ask(sender, message)
 
 
+class Asker:
+    """What one caller asks of the register and how it ended, as the checker wants it: reads, and changes over
+    what it last saw."""
+
+    def __init__(self, proposer: Proposer, history: list[Op], chance: Callable[[], float]) -> None:
+        self.proposer, self.history, self.chance = proposer, history, chance
+        self.last: Record = NOTHING
+
+    def next(self, now: float) -> tuple[Call, Op]:
+        if self.chance() < 0.4:
+            op = Op(now, float("inf"), "unseen")
+            call = self.proposer.read(KEY)
+        else:
+            writer = f"{self.proposer.ident}:{self.proposer.calls + 1}"
+            op = Op(now, float("inf"), "maybe", over=self.last.writer, wrote=writer)
+            call = self.proposer.change(KEY, self.last, b"x")
+        self.history.append(op)
+        return call, op
+
+    def done(self, op: Op, outcome: Outcome, now: float) -> None:
+        result = outcome.result
+        if result is Result.DONE:
+            op.end, op.saw, self.last = now, outcome.record.writer, outcome.record
+            op.kind = "read" if op.kind == "unseen" else "change"
+        elif result is Result.CONFLICT:
+            op.end, op.kind, op.saw, self.last = now, "conflict", outcome.record.writer, outcome.record
+        elif result is Result.AWAY:
+            self.history.remove(op)  # nothing was proposed
+
+
+def judged(history: list[Op]) -> bool:
+    for op in history:
+        if op.kind == "unseen":
+            op.kind = "maybe"  # a read that nobody heard of says nothing
+            op.over = "never"
+    return linearizable(history)
+
+
 class Client:
-    """Reads, changes over what it last saw, reads again. It may die and come back as another."""
+    """It may die and come back as another."""
 
     def __init__(self, play: Register, name: str) -> None:
         self.play, self.name, self.host = play, name, Host(play.world, name, 0.01)
-        self.last: Record = NOTHING
+        self.asker: Asker | None = None
         self.start()
 
     def start(self) -> None:
@@ -60,35 +98,26 @@
         self.calls = Calls(30.0, lambda to, asked: self.play.send(name, to, asked))
         ident, chance = f"{self.name}/{self.host.life}", self.play.world.random.random
         self.proposer = Proposer(ident, guessed(self.play.founders), chance, tries=4, pause_ms=5.0)
+        last = self.asker.last if self.asker is not None else NOTHING
+        self.asker = Asker(self.proposer, self.play.history, chance)
+        self.asker.last = last
         if self.play.plant is not None:
             self.play.plant(self)
         self.host.later(self.play.world.now + self.play.world.random.uniform(0.0, 20.0), self.next)
 
     def next(self) -> None:
         play, now = self.play, self.play.world.now
-        if play.left <= 0:
+        if play.left <= 0 or self.asker is None:
             return
         play.left -= 1
-        if play.world.random.random() < 0.4:
-            op = Op(now, float("inf"), "unseen")
-            call = self.proposer.read(KEY)
-        else:
-            writer = f"{self.proposer.ident}:{self.proposer.calls + 1}"
-            op = Op(now, float("inf"), "maybe", over=self.last.writer, wrote=writer)
-            call = self.proposer.change(KEY, self.last, b"x")
-        play.history.append(op)
+        call, op = self.asker.next(now)
         self.calls.start(call, lambda outcome, _: self.done(op, outcome), now)
         self.tick()
 
     def done(self, op: Op, outcome: Outcome) -> None:
-        now, result = self.play.world.now, outcome.result
-        if result is Result.DONE:
-            op.end, op.saw, self.last = now, outcome.record.writer, outcome.record
-            op.kind = "read" if op.kind == "unseen" else "change"
-        elif result is Result.CONFLICT:
-            op.end, op.kind, op.saw, self.last = now, "conflict", outcome.record.writer, outcome.record
-        elif result is Result.AWAY:
-            self.play.history.remove(op)  # nothing was proposed
+        now = self.play.world.now
+        if self.asker is not None:
+            self.asker.done(op, outcome, now)
         self.host.later(now + self.play.world.random.uniform(0.0, 25.0), self.next)
 
     def heard(self, sender: str, message: Any) -> None:
@@ -220,21 +249,18 @@
 
     def run(self) -> Judged:
         self.world.run(4000.0)
-        for op in self.history:
-            if op.kind == "unseen":
-                op.kind = "maybe"  # a read that nobody heard of says nothing
-                op.over = "never"
+        ok = judged(self.history)
         known = sum(op.end != float("inf") for op in self.history)
-        return Judged(0, linearizable(self.history), len(self.history), known, self.history, self.reseated,
+        return Judged(0, ok, len(self.history), known, self.history, self.reseated,
                       self.roster().number)
 
 
 def play(seed: int, trusted: bool = False, plant: Callable[[Client], None] | None = None,
          forget: bool = False, change: bool = False) -> Judged:
     """`change`: voters are replaced meanwhile."""
-    judged = Register(seed, trusted, plant, forget, change).run()
-    judged.seed = seed
-    return judged
+    one = Register(seed, trusted, plant, forget, change).run()
+    one.seed = seed
+    return one
 
 
 def stale_read(client: Client) -> None:
--- a/rig/sockets/owners.py
+++ b/rig/sockets/owners.py
@@ -121,6 +121,8 @@
         self.config, self.operators = folder / f"{name}.json", folder / f"{name}.toml"
         self.config.write_text(json.dumps(conf))
         self.operators.write_text(operators)
+        self.wall = folder / f"{name}.wall"  # by how many seconds its wall clock is off
+        self.wall_leases = False  # a planted bug
         self.log = open(folder / f"{name}.log", "ab")  # noqa: SIM115 - open as long as the play
 
     def command(self, *words: str) -> list[str]:
@@ -132,8 +134,11 @@
 
     def start(self) -> None:
         if self.process is None:
+            serve = self.command("serve", str(self.config))
+            bug = ["--wall-leases"] if self.wall_leases else []
+            serve[2:3] = ["rig.sockets.stepped", *bug, str(self.wall)]
             self.process = subprocess.Popen(
-                self.command("serve", str(self.config)), cwd=ROOT, stdout=self.log, stderr=self.log,
+                serve, cwd=ROOT, stdout=self.log, stderr=self.log,
                 env={**os.environ, "PYTHONPATH": str(ROOT)})
 
     def signal(self, number: int) -> None:
@@ -205,24 +210,31 @@
             backend.signal(signal.SIGSTOP)
             gevent.spawn_later(seconds, backend.signal, signal.SIGCONT)
         elif kind == "half":
-            for (a, b), link in self.links.items():
-                if (a in side) != (b in side):
-                    link.freeze(seconds)
-        for link, connects in self.links_of(backend.name):
+            self.apart(side, seconds)
+        elif kind in ("freeze-in", "freeze-out"):
+            self.deaf(backend.name, seconds, kind == "freeze-out")
+        for link, _ in self.links_of(backend.name):
             if kind == "cut":
                 link.cut(seconds)
             elif kind == "freeze":
                 link.freeze(seconds)
-            elif kind == "freeze-in":
-                link.freeze(seconds, out=not connects, back=connects)
-            elif kind == "freeze-out":
-                link.freeze(seconds, out=connects, back=not connects)
             elif kind == "slow":
                 link.slow(seconds, delay)
             elif kind == "flap":
                 for i in range(6):
                     gevent.spawn_later(0.3 * i, link.cut, 0.15)
 
+    def apart(self, side: set[str], seconds: float) -> None:
+        """Nothing comes through between these members and the others; connections are kept."""
+        for (a, b), link in self.links.items():
+            if (a in side) != (b in side):
+                link.freeze(seconds)
+
+    def deaf(self, name: str, seconds: float, hears: bool) -> None:
+        """One way: it hears the others and none hears it, or the other way round."""
+        for link, connects in self.links_of(name):
+            link.freeze(seconds, out=connects == hears, back=connects != hears)
+
     def _away(self, backend: Backend, kind: str, seconds: float) -> None:
         if kind == "term":
             backend.signal(signal.SIGTERM)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -163,3 +163,180 @@
     waiting.join()
     goes_on(four, 20)
     kept(four)
+
+
+# -- what one side of a link, a disk or a clock does
+
+
+def test_an_owner_that_none_hears_stops_though_it_hears_all(four: RealPlay) -> None:
+    old = four.owner("duty-0")
+    four.deaf(old, 4.0, hears=True)
+    four.wait(lambda: four.owner("duty-0") != old)
+    goes_on(four, 20)
+    kept(four)
+
+
+def test_an_owner_that_is_left_with_half_of_the_members_stops(four: RealPlay) -> None:
+    """Two and two: of three voters one side has two, and only there a duty is owned."""
+    four.wait(lambda: {four.owner(duty) for duty in four.duties} != {"n2"})
+    side = {"n0", "n3"} if four.owner("duty-0") in ("n0", "n3") else {"n1", "n2"}
+    four.apart(side, 5.0)
+    majority = {"n1", "n2"}
+    four.wait(lambda: {four.owner(duty) for duty in four.duties} <= majority)
+    goes_on(four, 20)
+    kept(four)
+
+
+def test_links_slower_than_a_round_leave_no_owner_and_come_back(fleet: RealPlay) -> None:
+    """Rounds of 200 ms over links that take 1.2 s each way, longer than the lease."""
+    for link in fleet.links.values():
+        link.slow(4.0, 1.2)
+    gevent.sleep(1.6)
+    before = steps(fleet)
+    gevent.sleep(1.0)
+    assert steps(fleet) == before, "an owner that hears no majority has stopped"
+    goes_on(fleet)
+    kept(fleet)
+
+
+def test_two_candidates_in_one_instant_give_one_owner(four: RealPlay) -> None:
+    """All others are stopped as the owner dies, and woken at once when its lease is over: each finds the duty
+    free."""
+    old = four.owner("duty-0")
+    others = [one for name, one in four.backends.items() if name != old]
+    for one in others:
+        one.signal(signal.SIGSTOP)
+    four.backends[old].end()
+    gevent.sleep(1.4)
+    for one in others:
+        one.signal(signal.SIGCONT)
+    four.wait(lambda: four.owner("duty-0") != old)
+    goes_on(four, 20)
+    kept(four)
+
+
+def test_a_voter_with_an_older_copy_of_its_disk_learns_before_it_votes(fleet: RealPlay) -> None:
+    file = fleet.folder / "voter-n1.state"
+    older = file.read_bytes()
+    goes_on(fleet, 20)
+    fleet.backends["n1"].end()
+    file.write_bytes(older)
+    fleet.backends["n1"].start()
+    log = fleet.folder / "n1.log"
+    fleet.wait(lambda: log.read_text().count("votes again") == 2)
+    fleet.backends["n2"].end()  # now its vote is needed
+    goes_on(fleet, 20)
+    kept(fleet)
+
+
+def test_a_voter_whose_disk_takes_nothing_says_nothing_until_it_does(fleet: RealPlay) -> None:
+    """What stands in the way of each write is a folder under the name of the new file."""
+    blocked = fleet.folder / "voter-n1.state.new"
+    log = fleet.folder / "n1.log"
+    while True:  # the name is free between two writes only
+        try:
+            blocked.mkdir()
+            break
+        except FileExistsError:
+            gevent.sleep(0.001)
+    fleet.wait(lambda: "disk refuses a write" in log.read_text())
+    goes_on(fleet)  # the other two are a majority
+    other = next(name for name in ("n0", "n2") if name != fleet.owner("duty-0"))
+    fleet.backends[other].end()
+    gevent.sleep(1.3)
+    before = steps(fleet)
+    gevent.sleep(0.8)
+    assert steps(fleet) == before, "one voter of three is none"
+    blocked.rmdir()
+    fleet.wait(lambda: "takes writes again" in log.read_text())
+    goes_on(fleet)
+    kept(fleet)
+
+
+@pytest.mark.parametrize("seconds", [-3600, 3600])
+def test_a_wall_clock_that_is_stepped_changes_nothing(fleet: RealPlay, seconds: int) -> None:
+    owners = {duty: fleet.owner(duty) for duty in fleet.duties}
+    for backend in fleet.backends.values():
+        backend.wall.write_text(str(seconds if backend.name == owners["duty-0"] else 0))
+    goes_on(fleet, 20)
+    assert {duty: fleet.owner(duty) for duty in fleet.duties} == owners
+    kept(fleet)
+
+
+@pytest.mark.parametrize("bug", [False, True])
+def test_an_owner_that_slept_and_whose_wall_clock_slept_too_offers_nothing_late(
+    tmp_path: Path, bug: bool
+) -> None:
+    """With leases on that clock, a planted bug, it goes on as if no time had passed, and only the fence
+    keeps it out: the judge sees it."""
+    play = RealPlay(3, 3, 3, 1, True, tmp_path)
+    for backend in play.backends.values():
+        backend.wall_leases = bug
+    try:
+        play.begin()
+        for _ in range(3):  # stopped within a step, it would not show
+            old = play.owner("duty-0")
+            begun = play.stands.now()
+            play.backends[old].signal(signal.SIGSTOP)
+            play.wait(lambda old=old: play.owner("duty-0") != old)
+            goes_on(play, 5)
+            file = play.backends[old].wall
+            slept = float(file.read_text() if file.exists() else 0.0) - (play.stands.now() - begun) / 1000.0
+            file.write_text(str(slept))
+            play.backends[old].signal(signal.SIGCONT)
+            goes_on(play, 5)
+        assert (play.stands.resource.late_offered > 0) is bug
+        kept(play)
+    finally:
+        play.finish()
+
+
+# -- members that come and go while something else is wrong
+
+
+def test_a_rolling_deploy_of_all_members_during_a_partition(four: RealPlay) -> None:
+    """n3, which has no vote, is cut off for the whole time; each of the others is told to leave and started
+    anew, one after the other."""
+    four.apart({"n3"}, 60.0)
+    for name in ("n0", "n1", "n2"):
+        votes = (four.folder / f"{name}.log").read_text().count("votes again")
+        four.backends[name].signal(signal.SIGTERM)
+        process = four.backends[name].process
+        four.wait(lambda process=process: process is not None and process.poll() is not None)
+        four.backends[name].end()
+        four.backends[name].start()
+        log = four.folder / f"{name}.log"
+        four.wait(lambda log=log, votes=votes: log.read_text().count("votes again") > votes)
+    goes_on(four, 20)
+    assert not {four.owner(duty) for duty in four.duties} & {"n3"}
+    kept(four)
+
+
+def test_a_peer_that_flaps_does_not_move_duties_to_and_fro(four: RealPlay) -> None:
+    goes_on(four)
+    changes = owner_changes(four)
+    flapping = four.owner("duty-0")
+    for _ in range(16):
+        for link, _ in four.links_of(flapping):
+            link.cut(0.2)
+        gevent.sleep(0.5)
+    assert owner_changes(four) - changes <= 8, "under one a second"
+    goes_on(four)
+    kept(four)
+
+
+def owner_changes(play: RealPlay) -> int:
+    taken = play.stands.resource.taken
+    return sum(a.owner != b.owner for duty in play.duties
+               for a, b in pairwise([t for t in taken if t.duty == duty]))
+
+
+def test_a_handover_to_a_member_that_dies_as_it_accepts_goes_to_another(four: RealPlay) -> None:
+    old = four.owner("duty-0")
+    assert four.told("step-down", "duty-0", "--at", old).returncode == 0
+    four.wait(lambda: four.owner("duty-0") != old)
+    heir = four.owner("duty-0")
+    four.backends[heir].end()
+    four.wait(lambda: four.owner("duty-0") != heir)
+    goes_on(four, 20)
+    kept(four)
