Fleet work has budgets: a share of time for each duty, steps under way for each member

Change: `fleet/steps.py` holds the scheduler, out of `fleet/decide.py`; `share` of a duty and `together` of the fleet in [fleet]; of the steps that wait for room the one that has waited longest begins first.

--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -17,7 +17,7 @@
 from myrtlecrank.core.board import Board
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.fleet.bounds import Bounds, address
-from myrtlecrank.fleet.decide import Effect, Fleet, Plan, Work
+from myrtlecrank.fleet.decide import Fleet, Plan
 from myrtlecrank.fleet.effects import Receiver
 from myrtlecrank.fleet.links import Links
 from myrtlecrank.fleet.members.decide import Pace
@@ -29,6 +29,7 @@
 from myrtlecrank.fleet.register.disk import Disk, TornError, encode
 from myrtlecrank.fleet.register.reseat import Reseated
 from myrtlecrank.fleet.register.words import Memory, Seated
+from myrtlecrank.fleet.steps import Effect, Work
 from myrtlecrank.fleet.watch.words import Gauges
 from myrtlecrank.fleet.words import Message, Report, Reseat, Row, StepDown, Tell
 
@@ -48,9 +49,11 @@
     pace = Pace(bounds.probe_ms, bounds.probe_reply_ms, bounds.helpers, bounds.suspect_ms, FORGET_MS,
                 10.0 * bounds.probe_ms)
     duties = bounds.duties.items()
-    works = tuple(Work(name, one.every_ms, one.deadline_ms, one.back_off_ms) for name, one in duties)
+    works = tuple(Work(name, one.every_ms, one.deadline_ms, one.back_off_ms, one.share)
+                  for name, one in duties)
     terms = Terms.of(bounds.lease_ms, bounds.drift, bounds.lease_ms / 4.0)
-    return Plan(bounds.voters, works, terms, pace, bounds.reply_ms, bounds.even_ms, bounds.watch_ms)
+    return Plan(bounds.voters, works, terms, pace, bounds.reply_ms, bounds.even_ms, bounds.watch_ms,
+                bounds.together)
 
 
 @dataclass(frozen=True, slots=True)
--- a/myrtlecrank/fleet/bounds.py
+++ b/myrtlecrank/fleet/bounds.py
@@ -23,6 +23,7 @@
     every_ms: float = figure(1000.0, 10.0, 3_600_000.0, "from the end of a step to the next")
     deadline_ms: float = figure(400.0, 10.0, 60_000.0, "how long a step may take")
     back_off_ms: float = figure(100.0, 10.0, 60_000.0, "wait after a failed step; doubled up to 16 times")
+    share: float = figure(1.0, 0.001, 1.0, "the most of the time in which its steps may be under way")
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,7 @@
     suspect_ms: float = figure(1500.0, 50.0, 600_000.0, "least time in suspicion; six times that unconfirmed")
     even_ms: float = figure(3000.0, 100.0, 3_600_000.0, "between two moves to even the duties out")
     watch_ms: float = figure(1000.0, 0.0, 60_000.0, "between two views of the fleet by its watcher; 0: none")
+    together: int = figure(8, 1, 1024, "steps of duties that one member has under way at a time")
     queue: int = figure(256, 16, 65_536, "messages that wait for one peer; more are dropped")
     members: dict[str, MemberAt] = table(MemberAt, "every member, by name")  # noqa: RUF009
     duties: dict[str, DutyOf] = table(DutyOf, "every duty, by name")  # noqa: RUF009
--- a/myrtlecrank/fleet/decide.py
+++ b/myrtlecrank/fleet/decide.py
@@ -16,45 +16,13 @@
 from myrtlecrank.fleet.register.reseat import Reseated, reseat
 from myrtlecrank.fleet.register.roster import Roster, guessed
 from myrtlecrank.fleet.register.words import Outcome, Result, Seated
+from myrtlecrank.fleet.steps import Effect, Steps, Work
 from myrtlecrank.fleet.watch.decide import DUTY as WATCH
 from myrtlecrank.fleet.watch.decide import Watch
 from myrtlecrank.fleet.watch.words import Gauges, Told, Watched
 from myrtlecrank.fleet.words import Message, Offered, Row, Voted
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
-    """What is done under a duty: a step every so long, within `deadline`, later by `back_off` for each
-    failure in a row (doubled, at most 16 times). All in ms."""
-
-    name: str
-    every: float
-    deadline: float
-    back_off: float
-
-
-@dataclass(frozen=True, slots=True)
-class Effect:
-    """One step to carry out now. Whoever takes it refuses an epoch older than the newest it met, and a step
-    that it has already. `until`: at this time on the own clock it is given up."""
-
-    duty: str
-    epoch: int
-    step: int
-    until: float
-
-
-@dataclass(slots=True)
-class Doing:
-    """The state of a duty's work at its owner."""
-
-    epoch: int = 0
-    due: float = 0.0
-    step: int = 0  # under way, or done and not yet recorded
-    until: float | None = None  # while under way
-    failures: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What a member is told once."""
@@ -66,6 +34,7 @@
     reply: float  # ms that a round of the register waits
     even: float  # ms between two moves to even the duties out
     watch: float = 0.0  # ms between two views of the fleet; 0: there are none
+    together: int = 64  # steps that one member has under way at a time
 
 
 def voters_line(roster: Roster) -> str:
@@ -95,7 +64,7 @@
         self.changed: list[str] = []  # for the log; whoever reads them empties it
         self.settle_due = math.inf  # when a change that stands half-way is ended from here
         self.duties = {work.name: Duty(work.name, self.ident, plan.terms) for work in plan.works}
-        self.doing = {work.name: Doing() for work in plan.works}
+        self.steps = Steps(plan.works, self.duties, plan.together)
         self.gauges = Gauges()  # this backend's own, as last told
         self.watch = Watch(plan.watch, 4.0 * plan.watch)
         if plan.watch:
@@ -145,16 +114,11 @@
     # -- time
 
     def due(self) -> float:
-        works = []
-        for name, one in self.doing.items():
-            duty = self.duties[name]
-            if duty.epoch is not None and (one.until is not None or duty.recorded() >= one.step):
-                works.append(one.due if one.until is None else one.until)
         duties = [max(one.due, 0.0) for one in self.duties.values() if one.asked is None]
         ends = [one.until for one in self.duties.values() if one.epoch is not None]
         views = [self.watch.due] if self.watch.epoch is not None else []
         own = [self.members.due(), self.calls.due(), self.even_due, self.settle_due]
-        return min([*own, *works, *duties, *ends, *views])
+        return min([self.steps.due(), *own, *duties, *ends, *views])
 
     def tick(self, now: float) -> None:
         # First what has run out: a process that wakes after a pause must do nothing before it has looked.
@@ -169,8 +133,7 @@
                 self._ask(duty, asked, now)
             elif duty.asked is None and duty.due <= now:
                 duty.due = now + self.plan.terms.look / 4.0
-        for work in self.plan.works:
-            self._work(work, now)
+        self.effects += self.steps.tick(now)
         if self.plan.watch:
             epoch = self.duties[WATCH].owns(now)
             self.out += self.watch.tick(now, epoch, self.members.there(), self.name, self.gauges)
@@ -273,43 +236,8 @@
 
     # -- the steps of a duty
 
-    def _work(self, work: Work, now: float) -> None:
-        """One step at a time, and the next only after the last is recorded: a new owner goes on behind it."""
-        duty, doing = self.duties[work.name], self.doing[work.name]
-        epoch = duty.owns(now)
-        if epoch is None:
-            if doing.until is not None:
-                # Not done, as far as is known: were it left as it is, a lease that is found to stand
-                # after all would wait for ever for its record.
-                doing.until, doing.step = None, doing.step - 1
-            return
-        if doing.epoch != epoch:
-            self.doing[work.name] = doing = Doing(epoch, now, duty.recorded())
-        if doing.until is not None:
-            if now >= doing.until:
-                self._failed(work, doing, now)
-        elif now >= doing.due and duty.recorded() >= doing.step:
-            doing.step, doing.until = doing.step + 1, min(now + work.deadline, duty.until)
-            self.effects.append(Effect(work.name, epoch, doing.step, doing.until))
-
     def did(self, effect: Effect, taken: bool, now: float) -> None:
-        """How an effect ended, as its receiver said; where nothing was heard, not taken."""
-        doing, duty = self.doing[effect.duty], self.duties[effect.duty]
-        if (doing.epoch, doing.step) != (effect.epoch, effect.step) or doing.until is None:
-            return
-        work = next(one for one in self.plan.works if one.name == effect.duty)
-        if not taken:
-            self._failed(work, doing, now)
-            return
-        doing.until, doing.failures, doing.due = None, 0, now + work.every
-        duty.advance(effect.step)
-
-    def _failed(self, work: Work, doing: Doing, now: float) -> None:
-        """The same step again, later each time: it may have been taken, and its receiver knows a step
-        again."""
-        doing.until, doing.step = None, doing.step - 1
-        doing.due = now + work.back_off * 2.0 ** min(doing.failures, 4)
-        doing.failures += 1
+        self.steps.did(effect, taken, now)
 
     # -- spreading the duties
 
--- a/myrtlecrank/fleet/effects.py
+++ b/myrtlecrank/fleet/effects.py
@@ -8,7 +8,7 @@
 import orjson
 from gevent import socket
 
-from myrtlecrank.fleet.decide import Effect
+from myrtlecrank.fleet.steps import Effect
 
 LONGEST = 4096  # bytes of an answer
 
--- a/rig/several/judge.py
+++ b/rig/several/judge.py
@@ -6,7 +6,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from myrtlecrank.fleet.decide import Effect
+from myrtlecrank.fleet.steps import Effect
 
 
 @dataclass(frozen=True, slots=True)
--- a/rig/several/member.py
+++ b/rig/several/member.py
@@ -7,13 +7,14 @@
 
 import msgspec
 
-from myrtlecrank.fleet.decide import Effect, Fleet, Plan
+from myrtlecrank.fleet.decide import Fleet, Plan
 from myrtlecrank.fleet.members.words import Rumour, State
 from myrtlecrank.fleet.register.calls import Letter, replies
 from myrtlecrank.fleet.register.decide import Voter
 from myrtlecrank.fleet.register.disk import decode, encode
 from myrtlecrank.fleet.register.roster import founding
 from myrtlecrank.fleet.register.words import Known, Memory, Seated
+from myrtlecrank.fleet.steps import Effect
 from myrtlecrank.fleet.words import Message
 from rig.several.world import Host, World
 
--- a/rig/several/owners.py
+++ b/rig/several/owners.py
@@ -8,10 +8,11 @@
 from itertools import pairwise
 from typing import Any
 
-from myrtlecrank.fleet.decide import Effect, Plan, Work
+from myrtlecrank.fleet.decide import Plan
 from myrtlecrank.fleet.members.decide import Pace
 from myrtlecrank.fleet.owner.decide import Terms
 from myrtlecrank.fleet.register.roster import Roster
+from myrtlecrank.fleet.steps import Effect, Work
 from rig.several.judge import Resource, at_once
 from rig.several.member import Member
 from rig.several.world import World
--- a/rig/sockets/owners.py
+++ b/rig/sockets/owners.py
@@ -20,7 +20,7 @@
 import orjson
 from gevent import socket
 
-from myrtlecrank.fleet.decide import Effect
+from myrtlecrank.fleet.steps import Effect
 from rig.several.judge import Resource
 from rig.several.owners import AIMS, Played
 from rig.sockets.process import GAUGES, ROOT, free_address
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -7,11 +7,12 @@
 
 import pytest
 
-from myrtlecrank.fleet.decide import Effect, Fleet, Plan, Work
+from myrtlecrank.fleet.decide import Fleet, Plan
 from myrtlecrank.fleet.members.decide import Pace
 from myrtlecrank.fleet.members.words import Rumour, State
 from myrtlecrank.fleet.owner.decide import Duty, Fence, Lease, Look, Put, Terms, opened, rebalance
 from myrtlecrank.fleet.register.words import NOTHING, Outcome, Record, Result
+from myrtlecrank.fleet.steps import Effect, Steps, Work
 
 TERMS = Terms.of(1000.0, 0.01, 250.0)
 
@@ -282,7 +283,7 @@
     fleet.effects.clear()
     duty.due = 1e9
     fleet.tick(1500.0)
-    assert duty.epoch is None and fleet.doing["d"].until is None
+    assert duty.epoch is None and fleet.steps.doing["d"].until is None
     duty.epoch, duty.until = 1, 3000.0  # a renewal had come through after all
     fleet.tick(1600.0)
     assert [(one.epoch, one.step) for one in fleet.effects] == [(first.epoch, first.step)]
@@ -290,7 +291,7 @@
 
 def test_an_effect_has_until_its_deadline_or_the_end_of_the_lease() -> None:
     fleet = owner()
-    fleet.doing["d"].epoch, fleet.doing["d"].due = 1, 0.0
+    fleet.steps.doing["d"].epoch, fleet.steps.doing["d"].due = 1, 0.0
     fleet.duties["d"].due = 1e9
     fleet.tick(900.0)
     assert fleet.effects[0].until == 1000.0
@@ -307,3 +308,53 @@
     fleet.leave(100.0)
     asked = fleet.duties["d"].asked
     assert isinstance(asked, Put) and asked.lease.owner == "" and fleet.members.me.state is State.LEFT
+
+
+# -- budgets of the scheduler
+
+
+def several(together: int, **works: Work) -> Steps:
+    """Steps of duties that are all owned until 1000."""
+    duties = {name: taken() for name in works}
+    return Steps(works.values(), duties, together)
+
+
+def test_no_more_steps_are_under_way_than_one_member_may_have_and_none_starves() -> None:
+    steps = several(2, **{name: Work(name, 10.0, 400.0, 50.0) for name in "abcd"})
+    begun: list[str] = []
+    now = 20.0
+    for _ in range(12):
+        effects = steps.tick(now)
+        assert steps._under_way() <= 2
+        begun += [one.duty for one in effects]
+        now += 15.0
+        for effect in effects:
+            steps.did(effect, True, now)
+            steps.duties[effect.duty].lease = Lease("a/1", 1, 1, "", effect.step)  # recorded
+    assert {name: begun.count(name) for name in "abcd"} == dict.fromkeys("abcd", 6)
+
+
+def test_a_full_member_waits_for_an_end_and_not_for_a_due_time() -> None:
+    steps = several(1, a=Work("a", 10.0, 400.0, 50.0), b=Work("b", 10.0, 300.0, 50.0))
+    (first,) = steps.tick(20.0)
+    assert first.duty == "a" and steps.due() == 420.0 and not steps.tick(100.0)
+    steps.did(first, False, 120.0)
+    assert [one.duty for one in steps.tick(121.0)] == ["b"]
+
+
+@pytest.mark.parametrize(("share", "next_at"), [(1.0, 130.0), (0.25, 420.0), (0.5, 220.0)])
+def test_a_duty_keeps_to_its_share_of_time(share: float, next_at: float) -> None:
+    """A step of 100 ms; what follows it is the wait between steps, or longer where the share asks for it."""
+    steps = several(1, a=Work("a", 10.0, 400.0, 50.0, share))
+    (first,) = steps.tick(20.0)
+    steps.did(first, True, 120.0)
+    steps.duties["a"].lease = Lease("a/1", 1, 1, "", 1)
+    assert steps.due() == pytest.approx(next_at)
+    assert not steps.tick(next_at - 0.1) and steps.tick(next_at)
+
+
+def test_failures_count_into_the_share_too() -> None:
+    steps = several(1, a=Work("a", 10.0, 400.0, 50.0, 0.1))
+    (first,) = steps.tick(20.0)
+    steps.tick(first.until)
+    assert steps.due() == pytest.approx(first.until + 3600.0)
--- a/tests/test_fleet_play.py
+++ b/tests/test_fleet_play.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from myrtlecrank.fleet.decide import Effect
+from myrtlecrank.fleet.steps import Effect
 from rig.several.bugs import BUGS
 from rig.several.judge import Resource
 from rig.several.owners import Scene, play
