SIGHUP takes over how fleet work is done; all else of [fleet] is told to need a new start

Need: any change of [fleet] took a new start of the member, and so a move of its duties. Change: `taken_over` and `waiting` in `fleet/bounds.py`; intervals, deadlines, back-off and shares of duties that stand, `together` and `even_ms` hold at once; a changed list of voters is told to be the business of `fleet replace-voters`.

--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -16,7 +16,7 @@
 
 from myrtlecrank.core.board import Board
 from myrtlecrank.core.mailbox import Mailbox
-from myrtlecrank.fleet.bounds import Bounds, address
+from myrtlecrank.fleet.bounds import Bounds, address, taken_over, waiting
 from myrtlecrank.fleet.decide import Fleet, Plan
 from myrtlecrank.fleet.effects import Receiver
 from myrtlecrank.fleet.links import Links
@@ -168,6 +168,19 @@
         if fit is not self.fleet.members.me.fit:
             self.mailbox.post(Feel(fit))
 
+    def retune(self, bounds: Bounds) -> None:
+        """Of a file that was read anew, what can hold at once does."""
+        self.bounds = taken_over(self.bounds, bounds)
+        self.fleet.retune(plan_of(self.bounds))
+        self.mailbox.wake()
+        left = waiting(self.bounds, bounds)
+        if "voters" in left:
+            logger.warning("[fleet] voters are replaced by `myrtlecrank fleet replace-voters` alone; the list "
+                           "is whom a new start asks first")
+            left.remove("voters")
+        if left:
+            logger.warning("[fleet] these take a new start and stay as they were: {}", ", ".join(left))
+
     def depart(self) -> None:
         self.mailbox.post(Depart())
 
--- a/myrtlecrank/fleet/bounds.py
+++ b/myrtlecrank/fleet/bounds.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 
 from myrtlecrank.operators.sections import figure, table, words
 
@@ -103,3 +103,19 @@
     if name in bounds.members:
         return None
     return f"[fleet] members: this backend, {name!r}, is none of them"
+
+
+def taken_over(old: Bounds, new: Bounds) -> Bounds:
+    """What of a new section holds at once in a running process: how duties that it has are worked on,
+    and how many steps go together. All else is as it was until a new start."""
+    duties = {
+        name: replace(one, every_ms=told.every_ms, deadline_ms=told.deadline_ms, back_off_ms=told.back_off_ms,
+                      share=told.share)
+        for name, one in old.duties.items() if (told := new.duties.get(name, one))
+    }
+    return replace(old, duties=duties, together=new.together, even_ms=new.even_ms)
+
+
+def waiting(held: Bounds, new: Bounds) -> list[str]:
+    """The figures that take a new start."""
+    return [one.name for one in fields(held) if getattr(held, one.name) != getattr(new, one.name)]
--- a/myrtlecrank/fleet/decide.py
+++ b/myrtlecrank/fleet/decide.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from myrtlecrank.fleet.members.decide import Members, Pace
 from myrtlecrank.fleet.members.words import Ack, Ping, PingFor, Rumour, Swap
@@ -108,6 +108,12 @@
         self._spread_all()
         self.tick(now)
 
+    def retune(self, plan: Plan) -> None:
+        """Takes over how the duties are worked on; the duties themselves, the voters and all terms stay."""
+        self.plan = replace(self.plan, works=plan.works, together=plan.together, even=plan.even)
+        self.steps.works = {work.name: work for work in plan.works}
+        self.steps.together = plan.together
+
     def owned(self, now: float) -> list[str]:
         return [name for name, duty in self.duties.items() if duty.owns(now) is not None]
 
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -99,7 +99,9 @@
             logger.info("operators' file read: changed are {}", ", ".join(unlike))
             core.mailbox.post(Adopt(told.repeats))
             front.adopt(told.accepting)
-            if "fleet" in unlike:
+            if fleet is not None and told.fleet is not None:
+                fleet.retune(told.fleet)
+            elif "fleet" in unlike:
                 logger.warning("[fleet] takes a new start and stays as it was")
         held[0] = told
 
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from myrtlecrank.fleet.bounds import Bounds, DutyOf, taken_over, waiting
 from myrtlecrank.fleet.decide import Fleet, Plan
 from myrtlecrank.fleet.members.decide import Pace
 from myrtlecrank.fleet.members.words import Rumour, State
@@ -358,3 +359,24 @@
     (first,) = steps.tick(20.0)
     steps.tick(first.until)
     assert steps.due() == pytest.approx(first.until + 3600.0)
+
+
+def test_a_file_read_anew_changes_how_duties_are_worked_on_and_nothing_else() -> None:
+    old = Bounds(name="f", voters=("a", "b", "c"), lease_ms=2000.0,
+                 duties={"d": DutyOf(to="127.0.0.1:1"), "gone": DutyOf(to="127.0.0.1:2")})
+    new = Bounds(name="f", voters=("a", "b", "e"), lease_ms=900.0, together=2, even_ms=500.0,
+                 duties={"d": DutyOf(to="127.0.0.1:9", every_ms=50.0, share=0.5), "new": DutyOf()})
+    held = taken_over(old, new)
+    assert (held.together, held.even_ms, held.lease_ms) == (2, 500.0, 2000.0)
+    changed = DutyOf(to="127.0.0.1:1", every_ms=50.0, share=0.5)
+    assert held.duties == {"d": changed, "gone": old.duties["gone"]}
+    assert waiting(held, new) == ["voters", "lease_ms", "duties"]
+
+
+def test_steps_go_on_under_figures_that_were_taken_over() -> None:
+    fleet = owner()
+    fleet.tick(20.0)
+    fleet.retune(Plan(("x",), (Work("d", 1000.0, 50.0, 50.0, 0.5),), TERMS, PACE, 9.0, 7.0, together=1))
+    (first,) = fleet.effects
+    fleet.did(first, True, 30.0)
+    assert fleet.steps.doing["d"].due == 1030.0 and fleet.plan.voters == ("v",) and fleet.plan.reply == 250.0
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -340,3 +340,24 @@
     four.wait(lambda: four.owner("duty-0") != heir)
     goes_on(four, 20)
     kept(four)
+
+
+def test_the_file_read_anew_by_sighup_holds_for_the_steps_at_once(fleet: RealPlay) -> None:
+    """Every member's steps get a tenth of the pace; a list of other voters changes nothing."""
+    for backend in fleet.backends.values():
+        text = backend.operators.read_text().replace("every_ms = 100", "every_ms = 1000")
+        backend.operators.write_text(text.replace('["n0", "n1", "n2"]', '["n0", "n1", "n1"]'))
+        backend.signal(signal.SIGHUP)
+    fleet.wait(lambda: "one is named twice" in (fleet.folder / "n2.log").read_text())
+    goes_on(fleet)  # refused whole: as fast as ever
+    for backend in fleet.backends.values():
+        text = backend.operators.read_text().replace('"n1", "n1"]', '"n1"]')
+        backend.operators.write_text(text.replace('["n0", "n1"]', '["n0"]'))
+        backend.signal(signal.SIGHUP)
+    fleet.wait(lambda: all("replace-voters` alone" in (fleet.folder / f"{name}.log").read_text()
+                           for name in fleet.backends))
+    gevent.sleep(0.5)
+    before = steps(fleet)
+    gevent.sleep(3.0)
+    assert 0 < steps(fleet) - before <= 8, "two duties, a step a second each; at the old pace it were 50"
+    kept(fleet)
