--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -175,8 +175,8 @@
         self.mailbox.wake()
         left = waiting(self.bounds, bounds)
         if "voters" in left:
-            logger.warning("[fleet] voters are replaced by `myrtlecrank fleet replace-voters` alone; the list "
-                           "is whom a new start asks first")
+            logger.warning("[fleet] voters are replaced by `myrtlecrank fleet replace-voters` alone; the "
+                           "list is whom a new start asks first")
             left.remove("voters")
         if left:
             logger.warning("[fleet] these take a new start and stay as they were: {}", ", ".join(left))
