--- /dev/null
+++ b/rig/several/walk_owner.py
@@ -0,0 +1,199 @@
+"""Walks all orders of events for two members that want one duty, to a depth.
+
+The register is taken as what it is shown to be elsewhere: one record, changed as one step at any time after a
+call's sending, for ever where its answer was lost. A glance may show a change that was tried and never stood.
+An event: time goes on by a unit, a member asks, the register takes a call, an answer arrives or is
+given up. A member that is stopped is one to which nothing happens while time goes on. The clocks run
+alike; that a wait is longer than a lease stands for their drift: a lease of 3 units and a wait of 4
+allow for a seventh each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from copy import copy
+from dataclasses import dataclass, replace
+from typing import Any
+
+from myrtlecrank.fleet.owner.decide import Duty, Lease, Look, Put, Terms
+from myrtlecrank.fleet.register.words import NOTHING, Outcome, Record, Result
+
+TERMS = Terms(lease=3.0, wait=4.0, renew=1.0, look=1.0, stagger=0.0, heir=2.0)
+NAMES = ("a/1", "b/1")
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A call on its way. `outcome`: once the register took it; `waited`: its member has not given it up."""
+
+    member: int
+    asked: Look | Put
+    outcome: Outcome | None = None
+    waited: bool = True
+
+
+@dataclass(frozen=True)
+class State:
+    now: int
+    record: Record
+    duties: tuple[Duty, ...]
+    calls: tuple[Sent, ...] = ()
+
+    def key(self) -> tuple[Any, ...]:
+        """All that what follows depends on; times as they are from now."""
+        return (self.record, tuple(map(self._duty, self.duties)), frozenset(self.calls))
+
+    def _duty(self, duty: Duty) -> tuple[Any, ...]:
+        """Past a bound a time makes no difference any more."""
+
+        def ago(at: float) -> float:
+            return max(-20.0, min(20.0, at - self.now))
+
+        return (duty.record, duty.known, ago(duty.since), duty.epoch, ago(duty.until), duty.attempts,
+                duty.sent[0], ago(duty.sent[1]), duty.asked, ago(duty.due), duty.heir, duty.done)
+
+
+class Walk:
+    """`plant` changes each duty before the walk: a bug."""
+
+    def __init__(self, depth: int, terms: Terms = TERMS, plant: Callable[[Duty], None] | None = None) -> None:
+        self.depth, self.terms = depth, terms
+        self.plant = plant
+        self.seen: dict[tuple[Any, ...], int] = {}
+        self.wrong: list[tuple[str, ...]] = []
+        self.taken_by: set[str] = set()  # who owned it in some order
+        self.handed_on = 0  # states in which a second epoch is owned
+
+    def run(self, owned: bool = False) -> Walk:
+        """From where nobody has owned the duty; or from where a does, since just now, and b has seen it."""
+        duties = tuple(Duty("d", name, self.terms) for name in NAMES)
+        if self.plant is not None:
+            for duty in duties:
+                self.plant(duty)
+        record = NOTHING
+        if owned:
+            first = duties[0]
+            for _ in range(2):  # a look, then the taking
+                asked = first.want(0.0, True, 0)
+                assert asked is not None
+                first.sending(asked, 0.0)
+                if isinstance(asked, Put):
+                    record = Record(1, asked.value(), f"{first.me}:{asked.lease.turn}")
+                first.heard(Outcome(Result.DONE, record), 0.0)
+            duties[1].sending(Look(False), 0.0)
+            duties[1].heard(Outcome(Result.DONE, record), 0.0)
+        self._from(State(0, record, duties), self.depth, ())
+        return self
+
+    def _from(self, state: State, left: int, way: tuple[str, ...]) -> None:
+        key = state.key()
+        if self.wrong or self.seen.get(key, -1) >= left:
+            return
+        self.seen[key] = left
+        owners = [(duty.me, epoch) for duty in map(copied, state.duties)
+                  if (epoch := duty.owns(float(state.now))) is not None]
+        self.taken_by.update(name for name, _ in owners)
+        self.handed_on += any(epoch > 1 for _, epoch in owners)
+        if len(owners) > 1:
+            self.wrong.append(way)
+            return
+        if left:
+            for what, after in self._events(state):
+                self._from(after, left - 1, (*way, what))
+
+    def _events(self, state: State) -> Iterator[tuple[str, State]]:
+        now = float(state.now)
+        for i, duty in enumerate(state.duties):
+            mine = copied(duty)
+            asked = mine.want(now, True, 0)
+            if asked is not None:
+                mine.sending(asked, now)
+                yield f"{duty.me} asks", self._with(state, i, mine, calls=(*state.calls, Sent(i, asked)))
+        for sent in state.calls:
+            rest = tuple(one for one in state.calls if one is not sent)
+            name = state.duties[sent.member].me
+            if sent.outcome is None:
+                for outcome, record in self._taken(state, sent):
+                    took = (*rest, replace(sent, outcome=outcome)) if sent.waited else rest
+                    yield f"{name}'s call is taken", replace(state, record=record, calls=took)
+            if not sent.waited:
+                continue
+            if sent.outcome is not None:
+                mine = copied(state.duties[sent.member])
+                mine.heard(sent.outcome, now)
+                yield f"{name} hears", self._with(state, sent.member, mine, calls=rest)
+            mine = copied(state.duties[sent.member])
+            mine.heard(Outcome(Result.UNKNOWN if isinstance(sent.asked, Put) else Result.AWAY), now)
+            lost = isinstance(sent.asked, Put) and sent.outcome is None
+            ghost = (*rest, replace(sent, waited=False)) if lost else rest
+            yield f"{name} gives up", self._with(state, sent.member, mine, calls=ghost)
+        yield "time", replace(state, now=state.now + 1)
+
+    @staticmethod
+    def _with(state: State, i: int, duty: Duty, calls: tuple[Sent, ...]) -> State:
+        return replace(state, duties=(*state.duties[:i], duty, *state.duties[i + 1:]), calls=calls)
+
+    @staticmethod
+    def _taken(state: State, sent: Sent) -> Iterator[tuple[Outcome, Record]]:
+        asked, stands = sent.asked, state.record
+        if isinstance(asked, Put):
+            if asked.over.writer != stands.writer:
+                yield Outcome(Result.CONFLICT, stands), stands
+                return
+            new = written(state, sent)
+            yield Outcome(Result.DONE, new), new
+            return
+        yield Outcome(Result.DONE, stands), stands
+        if not asked.sure:
+            for other in state.calls:
+                if isinstance(other.asked, Put) and other.outcome is None:
+                    yield Outcome(Result.DONE, written(state, other)), stands
+
+
+def written(state: State, sent: Sent) -> Record:
+    """The record that a change makes, known by its writer as in the register."""
+    assert isinstance(sent.asked, Put)
+    lease: Lease = sent.asked.lease
+    writer = f"{state.duties[sent.member].me}:{lease.turn}"
+    return Record(sent.asked.over.version + 1, sent.asked.value(), writer)
+
+
+def copied(duty: Duty) -> Duty:
+    """All that it refers to is frozen, but for the lines for the log."""
+    twin = copy(duty)
+    twin.changes = []
+    return twin
+
+
+# -- planted bugs
+
+
+def counts_from_the_answer(duty: Duty) -> None:
+    """The lease counts from when it was known that it stands."""
+    duty.__class__ = CountsFromAnswer
+
+
+class CountsFromAnswer(Duty):
+    def heard(self, outcome: Outcome, now: float) -> None:
+        if isinstance(self.asked, Put):
+            self.sent = (self.sent[0], now)
+        super().heard(outcome, now)
+
+
+def believes_a_glance(duty: Duty) -> None:
+    """What a glance shows is taken for what stands: an owner in doubt only glances."""
+    duty.__class__ = BelievesGlance
+
+
+class BelievesGlance(Duty):
+    def _seen(self, record: Record, lease: Lease, sure: bool, now: float) -> None:
+        super()._seen(record, lease, True, now)
+
+
+def one_turn(duty: Duty) -> None:
+    """All writes under one epoch have one turn: an older one that stands at last passes for the newer."""
+    duty.__class__ = OneTurn
+
+
+class OneTurn(Duty):
+    def _lease(self, owner: str, epoch: int, heir: str, progress: int) -> Lease:
+        return Lease(owner, epoch, 1, heir, progress)
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from itertools import pairwise
 
 import pytest
@@ -14,6 +15,7 @@
 from myrtlecrank.fleet.owner.decide import Duty, Fence, Lease, Look, Put, Terms, opened, rebalance
 from myrtlecrank.fleet.register.words import NOTHING, Outcome, Record, Result
 from myrtlecrank.fleet.steps import Effect, Steps, Work
+from rig.several.walk_owner import Walk, believes_a_glance, counts_from_the_answer, one_turn
 
 TERMS = Terms.of(1000.0, 0.01, 250.0)
 
@@ -380,3 +382,28 @@
     (first,) = fleet.effects
     fleet.did(first, True, 30.0)
     assert fleet.steps.doing["d"].due == 1030.0 and fleet.plan.voters == ("v",) and fleet.plan.reply == 250.0
+
+
+# -- all orders of events
+
+
+def test_no_order_of_events_gives_a_duty_two_owners() -> None:
+    walk = Walk(12).run(owned=True)
+    assert not walk.wrong and len(walk.seen) > 40_000 and walk.handed_on > 1000
+    assert walk.taken_by == {"a/1", "b/1"}
+
+
+def test_nor_does_one_from_where_nobody_has_owned_it() -> None:
+    walk = Walk(10).run()
+    assert not walk.wrong and walk.taken_by == {"a/1", "b/1"}
+
+
+@pytest.mark.parametrize(
+    ("plant", "depth"), [(counts_from_the_answer, 14), (believes_a_glance, 12), (one_turn, 11)]
+)
+def test_the_walk_finds_planted_bugs_of_ownership(plant: Callable[[Duty], None], depth: int) -> None:
+    assert Walk(depth, plant=plant).run(owned=True).wrong
+
+
+def test_the_walk_finds_a_wait_shorter_than_the_lease() -> None:
+    assert Walk(12, Terms(3.0, 2.0, 1.0, 1.0, 0.0, 2.0)).run(owned=True).wrong
