Plays of a fleet replace voters, step clocks, leave lost majorities out and draw who owned what

Need: real plays could not tell a lost majority from a slow takeover, drew no change of voters, and had no picture; the quick virtual play was too short for a single fault (faults begin at 5 s and end 12 s before the end, of 15 s). Change: `Away` in `rig/several/judge.py` serves both plays, told by the rig's own knowledge of processes, links and rosters; faults `replace` and `clock`; `--reseats` and `--bug wall-time`; `rig/several/chart.py`; quick is 30 s.

--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -71,15 +71,16 @@
 @click.option("--real", is_flag=True, help="With real processes on loopback, in real time.")
 @click.option("--virtual", is_flag=True, help="Of a fleet: its decisions on the virtual clock.")
 @click.option("--bug", help="Of a fleet: 'fence' for a resource without one; with --virtual a planted bug.")
+@click.option("--reseats", is_flag=True, help="Of a fleet with --virtual: voters are replaced too.")
 @changed
 @OUT
 def play_(
-    name: str, seed: int, off: str | None, real: bool, virtual: bool, bug: str | None, quick: bool,
-    out: Path | None, **changes: Any
+    name: str, seed: int, off: str | None, real: bool, virtual: bool, bug: str | None, reseats: bool,
+    quick: bool, out: Path | None, **changes: Any
 ) -> None:
     """Plays one experiment once. The last line on standard output is a JSON object."""
     if name in FLEET:
-        _play_fleet(name, seed, virtual, bug, quick, out)
+        _play_fleet(name, seed, virtual, bug, reseats, quick, out)
         return
     scene = scene_of(name, off, quick, **changes)
     with Progress(console=Console(stderr=True), transient=True) as bar:
@@ -95,23 +96,25 @@
 
 
 def _play_fleet(
-    name: str, seed: int, virtual: bool, bug: str | None, quick: bool, out: Path | None
+    name: str, seed: int, virtual: bool, bug: str | None, reseats: bool, quick: bool, out: Path | None
 ) -> None:
     from rig.several import owners
     from rig.several.bugs import BUGS
 
-    if bug is not None and bug != "fence" and not (virtual and bug in BUGS):
-        click.echo(f"no such bug; there are fence and, with --virtual, {', '.join(BUGS)}", err=True)
+    known = ["fence", *BUGS] if virtual else ["fence", "wall-time"]
+    if bug is not None and bug not in known:
+        click.echo(f"no such bug here; there are {', '.join(known)}", err=True)
         sys.exit(2)
     try:
         if virtual:
-            scene = owners.Scene(length=15_000.0 if quick else 60_000.0, fence=bug != "fence")
+            scene = owners.Scene(length=30_000.0 if quick else 60_000.0, fence=bug != "fence",
+                                 reseats=reseats)
             one = owners.play(seed, scene, BUGS.get(bug or ""))
         else:
             from rig.sockets.owners import play as play_real
 
             one = play_real(seed, seconds=25.0 if quick else 60.0, fence=bug != "fence",
-                            keep=None if out is None else out / "logs")
+                            wall_leases=bug == "wall-time", keep=None if out is None else out / "logs")
     except (OSError, gevent.Timeout) as error:
         click.echo(f"could not run: {error}", err=True)
         sys.exit(2)
@@ -125,6 +128,9 @@
         (out / "result.json").write_text(json.dumps(line | {"script": one.script}, indent=1) + "\n")
         rows = "\n".join(f"| {key} | {value:g} |" for key, value in one.figures.items())
         title = f"# {name}, seed {seed}, {line['where']}"
+        from rig.several.chart import draw
+
+        draw(one, out, title[2:])
         (out / "table.md").write_text(f"{title}\n\n| figure | value |\n| --- | --- |\n{rows}\n")
     click.echo(json.dumps(line))
     if one.first_break:
--- a/rig/several/judge.py
+++ b/rig/several/judge.py
@@ -82,6 +82,36 @@
         return found
 
 
+@dataclass
+class Away:
+    """The times in which no member reached a majority of voters, as far as whoever makes the faults can
+    tell, and how much of a span lies outside them. `after`: ms that a taking needs once a majority is
+    back."""
+
+    after: float
+    spans: list[list[float]] = field(default_factory=list)
+
+    def look(self, now: float, reached: bool) -> None:
+        """Some times in 100 ms."""
+        if reached:
+            return
+        if not self.spans or self.spans[-1][1] < now - 100.0:
+            self.spans.append([now, now])
+        self.spans[-1][1] = now
+
+    def total(self) -> float:
+        return sum(last - first for first, last in self.spans)
+
+    def outside(self, begin: float, end: float) -> float:
+        left, reached = end - begin, begin
+        for first, last in self.spans:
+            first, last = max(first, reached), min(last + self.after, end)
+            if last > first:
+                left -= last - first
+                reached = last
+        return max(0.0, left)
+
+
 def at_once(seen: list[tuple[float, str, str]]) -> int:
     """The most that acted on one duty at one time: each counts from when it was first seen to act to the
     last. `seen`: when, which duty, who."""
--- a/rig/several/owners.py
+++ b/rig/several/owners.py
@@ -11,16 +11,17 @@
 from myrtlecrank.fleet.decide import Plan
 from myrtlecrank.fleet.members.decide import Pace
 from myrtlecrank.fleet.owner.decide import Terms
+from myrtlecrank.fleet.register.reseat import Reseated
 from myrtlecrank.fleet.register.roster import Roster
 from myrtlecrank.fleet.steps import Effect, Work
-from rig.several.judge import Resource, at_once
+from rig.several.judge import Away, Resource, at_once
 from rig.several.member import Member
 from rig.several.world import World
 
 DRIFT = 0.01
 STOP_IN_WRITE = 0.003  # share of effects with a stop between the look at the lease and the bytes
 PACE = Pace(probe=500.0, reply=150.0, helpers=3, suspect=1500.0, forget=60_000.0, swap=5000.0)
-LONG = 60_000.0  # ms of one play; 15,000 with --quick
+LONG = 60_000.0  # ms of one play; 30,000 with --quick
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     step_every: float = 120.0
     lease: float = 600.0
     watch: float = 0.0  # ms between two views of the fleet
+    reseats: bool = False  # voters are replaced too
     fence: bool = True  # of the resource; off only to see that its judge finds what comes late
 
 
@@ -74,8 +76,9 @@
             one.peers = {other.name: other for other in self.members}
         self.script: list[tuple[float, str, str, float]] = []
         self.acted: list[tuple[float, str, str]] = []  # when it was decided, on which duty, by which owner
-        self.away: list[list[float]] = []  # spans in which nobody reached a majority
+        self.away = Away(self.plan.terms.wait + 2.0 * self.plan.terms.look)
         self.world_seed = seed
+        self.voters_changed = 0
         if plant is not None:
             plant(self)
         for one in self.members:
@@ -120,10 +123,7 @@
         """Nobody can own anything while no member reaches a majority of voters that vote, both ways and
         within a round's time."""
         now = self.world.now
-        if not any(self._reaches(one) for one in self.members):
-            if not self.away or self.away[-1][1] < now - 100.0:
-                self.away.append([now, now])
-            self.away[-1][1] = now
+        self.away.look(now, any(self._reaches(one) for one in self.members))
         self.world.at(now + 25.0, self.look_around)
 
     def _runs(self, one: Member) -> bool:
@@ -153,19 +153,6 @@
         names = self.roster().names
         return [one for one in self.members if one.name in names]
 
-    def outside(self, begin: float, end: float) -> float:
-        """How much of a span lies outside lost majorities, each taken with the time that a taking needs after
-        it."""
-        after = self.plan.terms.wait + 2.0 * self.plan.terms.look
-        left = end - begin
-        reached = begin
-        for first, last in self.away:
-            first, last = max(first, reached), min(last + after, end)
-            if last > first:
-                left -= last - first
-                reached = last
-        return max(0.0, left)
-
     # -- faults
 
     def told(self, kind: str, whom: str, ms: float) -> None:
@@ -176,7 +163,7 @@
         if world.now > self.scene.length - 12_000.0:
             return  # what comes after the last fault is judged too
         one = random.choice(self.members)
-        kind = random.choice(FAULTS)
+        kind = random.choice(FAULTS + ("reseat",) * 8 if self.scene.reseats else FAULTS)
         ms = random.uniform(200.0, 3.0 * self.scene.lease)
         others = [other for other in self.members if other is not one]
         getattr(self, "_" + kind.replace("-", "_"))(one, others, ms)
@@ -243,6 +230,18 @@
             one.disk.image = self.world.random.choice(one.disk.copies)
         self._back(one, ms)
 
+    def _reseat(self, one: Member, _: list[Member], ms: float) -> None:
+        """An operator at this member drops a voter and adds a member, which may be the same."""
+        if one.host.up and one.host.stopped_until <= self.world.now:
+            voters = self.voters()
+            drop = self.world.random.choice(voters)
+            add = self.world.random.choice([drop, *(other for other in self.members if other not in voters)])
+            one.fleet.reseat([drop.name], [add.name], self.reseated, one.host.clock())
+            one.tick()
+
+    def reseated(self, how: Reseated) -> None:
+        self.voters_changed += not how.wrong
+
     def _leave(self, one: Member, _: list[Member], ms: float) -> None:
         if one.host.up and one.host.stopped_until <= self.world.now:
             one.fleet.leave(one.host.clock())
@@ -272,9 +271,9 @@
         # An owner does a step every so often; what is longer without one, beyond a few tries, is unowned.
         usual = 3.0 * scene.step_every
         gaps = resource.gaps(4000.0, scene.length, names)
-        unowned = sum(max(0.0, self.outside(a, b) - usual) for a, b in gaps)
+        unowned = sum(max(0.0, self.away.outside(a, b) - usual) for a, b in gaps)
         changes = self._changes(names)
-        takeovers = sorted(self.outside(a, b) for a, b in changes)
+        takeovers = sorted(self.away.outside(a, b) for a, b in changes)
         p95 = takeovers[int(0.95 * (len(takeovers) - 1))] if takeovers else 0.0
         last = {name: max((t.at for t in resource.taken if t.duty == name), default=0.0) for name in names}
         figures: dict[str, float] = {
@@ -283,7 +282,8 @@
             "takeover_s": round(p95 / 1000.0, 3),
             "unowned_share": round(unowned / ((scene.length - 4000.0) * len(names)), 4),
             "owner_changes": len(changes),
-            "majority_away_share": round(sum(b - a for a, b in self.away) / scene.length, 4),
+            "majority_away_share": round(self.away.total() / scene.length, 4),
+            "voters_changed": self.voters_changed,
             "stuck": sum(scene.length - at > 3000.0 for at in last.values()),
             "faults": len(self.script),
             "messages_a_member_a_second": round(
--- a/rig/sockets/owners.py
+++ b/rig/sockets/owners.py
@@ -21,7 +21,7 @@
 from gevent import socket
 
 from myrtlecrank.fleet.steps import Effect
-from rig.several.judge import Resource
+from rig.several.judge import Away, Resource
 from rig.several.owners import AIMS, Played
 from rig.sockets.process import GAUGES, ROOT, free_address
 from rig.sockets.proxy import Proxy
@@ -29,7 +29,7 @@
 LEASE_MS = 1000.0
 STEP_MS = 100.0
 FAULTS = ("kill", "kill", "stop", "stop", "cut", "freeze", "freeze-in", "freeze-out", "half", "slow", "flap",
-          "term", "lost-disk")
+          "term", "lost-disk", "clock", "replace", "replace")
 SETTINGS: dict[str, Any] = {
     "categories": [{"name": "group", "effect": "read_like", "aim": 1_000_000, "deadline": 4_000_000}],
     "domain": {"cores": 2, "memoryKb": 1000.0, "signal": "tokens", "gauges": list(GAUGES)},
@@ -174,6 +174,10 @@
             for name in names
         }
         self.script: list[tuple[float, str, str, float]] = []
+        self.stopped: set[str] = set()
+        self.rosters = [set(self.voters)]  # a majority of each is wanted
+        self.voters_changed = 0
+        self.away = Away(1.52 * LEASE_MS)  # the wait of the others, and two looks
 
     def _operators(self, me: str, names: list[str], homes: dict[str, tuple[str, int]]) -> str:
         """Each member's own view of the addresses: its peers behind their proxies."""
@@ -207,8 +211,13 @@
         if kind in ("kill", "term", "lost-disk"):
             gevent.spawn(self._away, backend, kind, seconds)
         elif kind == "stop":
-            backend.signal(signal.SIGSTOP)
-            gevent.spawn_later(seconds, backend.signal, signal.SIGCONT)
+            gevent.spawn(self._stop, backend, seconds)
+        elif kind == "clock":
+            backend.wall.write_text(str(self.random.choice([-3600, 3600])))
+        elif kind == "replace":
+            drop = self.random.choice(self.voters)
+            add = self.random.choice([drop, *(name for name in self.backends if name not in self.voters)])
+            gevent.spawn(self._replace, backend.name, drop, add)
         elif kind == "half":
             self.apart(side, seconds)
         elif kind in ("freeze-in", "freeze-out"):
@@ -224,6 +233,50 @@
                 for i in range(6):
                     gevent.spawn_later(0.3 * i, link.cut, 0.15)
 
+    def _stop(self, backend: Backend, seconds: float) -> None:
+        backend.signal(signal.SIGSTOP)
+        self.stopped.add(backend.name)
+        gevent.sleep(seconds)
+        backend.signal(signal.SIGCONT)
+        self.stopped.discard(backend.name)
+
+    def _replace(self, at: str, drop: str, add: str) -> None:
+        """By an operator, one at a time. Until one comes through, what the last left behind may be
+        half-way."""
+        if self.replacing:
+            return
+        self.replacing = True
+        new = [name for name in self.voters if name != drop or name == add]
+        new += [add] if add not in new else []
+        before, self.rosters = self.rosters, [*self.rosters, set(new)]
+        done = self.told("replace-voters", "--drop", drop, "--add", add, "--at", at)
+        asked = self.told("voters", "--json", "--at", at) if done.returncode == 0 else done
+        self.replacing = False
+        if asked.returncode == 0:
+            self.voters = [row["voter"] for row in json.loads(asked.stdout) if row["state"] == "votes"]
+            self.rosters = [set(self.voters)]
+            self.voters_changed += 1
+        elif "votes already" in done.stderr or "takes no seat" in done.stderr:
+            self.rosters = before  # nothing was begun
+
+    def look_around(self) -> None:
+        """From outside: which processes run, and between which of them a connection stands that lets through
+        within a round."""
+        while True:
+            self.away.look(self.stands.now(), any(self._reaches(name) for name in self.backends))
+            gevent.sleep(0.025)
+
+    def _reaches(self, name: str) -> bool:
+        if not self._runs(name):
+            return False
+        there = {other for other in self.backends if self._runs(other)
+                 and (other == name or self.links[min(name, other), max(name, other)].open())}
+        return all(len(there & voters) > len(voters) // 2 for voters in self.rosters)
+
+    def _runs(self, name: str) -> bool:
+        process = self.backends[name].process
+        return process is not None and process.poll() is None and name not in self.stopped
+
     def apart(self, side: set[str], seconds: float) -> None:
         """Nothing comes through between these members and the others; connections are kept."""
         for (a, b), link in self.links.items():
@@ -255,6 +308,7 @@
             subprocess.run, (command,), {"cwd": str(ROOT), "capture_output": True, "text": True})
         return found  # type: ignore[no-any-return]
 
+    replacing = False
     lost = False  # once a play: the next could come before the first has rejoined
 
     # -- the play
@@ -296,6 +350,7 @@
         try:
             self.begin()
             began = stands.now()
+            looks = gevent.spawn(self.look_around)
             last_fault = began + seconds * 1000.0 - 7000.0
             while stands.now() < began + seconds * 1000.0:
                 if every and stands.now() < last_fault:
@@ -303,13 +358,14 @@
                     gevent.sleep(self.random.expovariate(1.0 / every))
                 else:
                     gevent.sleep(0.2)
+            looks.kill()
         finally:
             self.finish()
         end = stands.now()
         usual = 4.0 * STEP_MS
         gaps = resource.gaps(began, end, self.duties)
-        unowned = sum(max(0.0, b - a - usual) for a, b in gaps)
-        changes = [b.at - a.at for duty in self.duties
+        unowned = sum(max(0.0, self.away.outside(a, b) - usual) for a, b in gaps)
+        changes = [self.away.outside(a.at, b.at) for duty in self.duties
                    for a, b in pairwise([t for t in resource.taken if t.duty == duty]) if a.owner != b.owner]
         changes.sort()
         figures: dict[str, float] = {
@@ -317,6 +373,8 @@
             "takeover_s": round(changes[int(0.95 * (len(changes) - 1))] / 1000.0, 3) if changes else 0.0,
             "unowned_share": round(unowned / ((end - began) * len(self.duties)), 4),
             "owner_changes": len(changes),
+            "majority_away_share": round(self.away.total() / (end - began), 4),
+            "voters_changed": self.voters_changed,
             "stuck": sum(end - max(t.at for t in resource.taken if t.duty == one) > 3000.0
                          for one in self.duties),
             "faults": len(self.script),
@@ -330,10 +388,14 @@
 
 
 def play(seed: int, seconds: float = 40.0, every: float = 2.0, members: int = 5, voters: int = 3,
-         duties: int = 4, fence: bool = True, keep: Path | None = None, trusted: bool = True) -> Played:
+         duties: int = 4, fence: bool = True, keep: Path | None = None, trusted: bool = True,
+         wall_leases: bool = False) -> Played:
     """Real processes in real time. `every`: seconds between faults in the mean, 0 for none. `keep`: a folder
     for logs."""
     with tempfile.TemporaryDirectory() as usual:
         folder = keep or Path(usual)
         folder.mkdir(parents=True, exist_ok=True)
-        return RealPlay(seed, members, voters, duties, fence, folder, trusted).run(seconds, every)
+        one = RealPlay(seed, members, voters, duties, fence, folder, trusted)
+        for backend in one.backends.values():
+            backend.wall_leases = wall_leases
+        return one.run(seconds, every)
--- a/rig/sockets/proxy.py
+++ b/rig/sockets/proxy.py
@@ -86,6 +86,11 @@
         except OSError:
             pass
 
+    def open(self, within_s: float = 0.1) -> bool:
+        """A connection stands, and each way lets through within this time."""
+        now = time.monotonic()
+        return bool(self.pairs) and all(way.hold(now) <= within_s for way in (self.out, self.back))
+
     # -- faults
 
     def drop(self) -> None:
--- a/tests/test_fleet_play.py
+++ b/tests/test_fleet_play.py
@@ -6,7 +6,7 @@
 
 from myrtlecrank.fleet.steps import Effect
 from rig.several.bugs import BUGS
-from rig.several.judge import Resource
+from rig.several.judge import Away, Resource
 from rig.several.owners import Scene, play
 
 
@@ -58,3 +58,19 @@
 @pytest.mark.parametrize(("bug", "seed"), list(FOUND.items()))
 def test_planted_bugs_of_ownership_are_found(bug: str, seed: int) -> None:
     assert play(seed, Scene(length=30_000.0), BUGS[bug]).first_break
+
+
+def test_one_owner_at_a_time_while_voters_are_replaced() -> None:
+    played = play(1, Scene(length=45_000.0, reseats=True))
+    assert not played.first_break and played.figures["stuck"] == 0
+    assert played.figures["voters_changed"] >= 3
+
+
+def test_time_outside_lost_majorities_leaves_out_what_a_taking_needs_after_them() -> None:
+    away = Away(50.0)
+    for now in range(0, 1000, 25):
+        away.look(float(now), not (200 <= now <= 300 or 600 <= now <= 625))
+    assert away.spans == [[200.0, 300.0], [600.0, 625.0]] and away.total() == 125.0
+    assert away.outside(0.0, 1000.0) == 1000.0 - 150.0 - 75.0
+    assert away.outside(250.0, 340.0) == 0.0 and away.outside(325.0, 500.0) == 150.0
+    assert Away(50.0).outside(1.0, 3.0) == 2.0
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -49,6 +49,15 @@
     assert far.recv(1) == b"x", "it comes once the freeze is over"
 
 
+def test_it_tells_whether_it_lets_through(ends: Ends) -> None:
+    proxy, near, far = ends
+    assert came_through(near, far) and proxy.open()
+    proxy.freeze(20.0, out=False)
+    assert not proxy.open()
+    proxy.cut(0.1)
+    assert near.recv(1) == b"" and not proxy.open()
+
+
 def test_a_cut_ends_the_connection_and_refuses_new_ones(ends: Ends) -> None:
     proxy, near, far = ends
     proxy.cut(0.5)
