A voter's memory is shown from its disk; founders of unlike lists and late bytes are told and tested

Need: operators could ask running members only; voters founded with unlike files went unnoticed; two hard cases had no test of processes. Change: `fleet memory NAME`; `Proposer.unlike` and its line; the rig puts a proxy on each member's way to the resource; tests of bytes that come after their owner's lease, of strangers at a member's door (another's name, another fleet, a message of 1 GB) with its memory watched.

--- a/myrtlecrank/fleet/command.py
+++ b/myrtlecrank/fleet/command.py
@@ -5,15 +5,18 @@
 
 import json
 import sys
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterator
+from typing import Any, NoReturn
 
 import click
+import msgspec
 from gevent import socket
 
 from myrtlecrank.fleet.bounds import Bounds, address
 from myrtlecrank.fleet.links import OPERATOR, Reader, RefusedError, packed
-from myrtlecrank.fleet.register.disk import Disk
+from myrtlecrank.fleet.owner.decide import opened
+from myrtlecrank.fleet.register.disk import Disk, TornError
+from myrtlecrank.fleet.register.words import Memory
 from myrtlecrank.fleet.words import VERSION, Hello, Message, Report, Reseat, Row, StepDown, Tell
 
 WAIT_S = 3.0
@@ -71,11 +74,25 @@
     _fail(why)
 
 
-def _fail(why: str) -> None:
+def _fail(why: str) -> NoReturn:
     click.echo(f"myrtlecrank: {why}", err=True)
     sys.exit(1)
 
 
+def rows_of(memory: Memory) -> Iterator[Row]:
+    """A line a record: what this voter holds of it."""
+    told: Row = {"voter": memory.voter, "boot": memory.boot, "roster": memory.roster.number}
+    for key, slot in sorted(memory.slots.items()):
+        row: Row = {**told, "key": key, "version": slot.record.version, "ballot": slot.accepted.number,
+                    "promised": slot.promised.number, "owner": None, "epoch": None, "step": None}
+        try:
+            lease = opened(slot.record)
+            row |= {"owner": lease.owner or None, "epoch": lease.epoch, "step": lease.progress}
+        except msgspec.MsgspecError:
+            pass  # no duty's record
+        yield row
+
+
 Decorator = Callable[[Any], Any]
 
 
@@ -102,6 +119,24 @@
     teller("voters", "Who votes, and whether that is changing.")
     teller("register", "Whether a voter votes, and whether the register answers.")
 
+    @fleet.command("memory")
+    @click.argument("name")
+    @as_json
+    @operators
+    def memory(name: str, as_json: bool, operators_file: str | None) -> None:
+        """What voter NAME has on its disk, where its folder is; the process need not run.
+
+        One voter's slots need not be what stands: ask a running member for that."""
+        bounds = bounds_of(operators_file)
+        try:
+            kept = Disk(bounds.folder, bounds.name, name).load()
+        except TornError as error:
+            _fail(f"the memory of voter {name} {error}")
+        if kept is None:
+            _fail(f"voter {name} has no memory in {bounds.folder}")
+        rows = list(rows_of(kept))
+        click.echo(json.dumps(rows) if as_json else table(rows))
+
     @fleet.command("step-down")
     @click.argument("duty")
     @click.option("--at", metavar="NAME", required=True, help="The owner.")
--- a/myrtlecrank/fleet/decide.py
+++ b/myrtlecrank/fleet/decide.py
@@ -59,6 +59,7 @@
         self.calls = Calls(plan.reply, lambda to, asked: self.out.append((to, asked)))
         self.chance = chance
         self.told = self.proposer.roster  # the newest that the others were told of
+        self.unlike = False  # told once that voters were founded with unlike lists
         self.changing = False  # voters are being replaced from here
         self.changes = 0
         self.changed: list[str] = []  # for the log; whoever reads them empties it
@@ -186,6 +187,11 @@
                 self.out += [(name, Seated(roster)) for name in names]
             self.changed.append(voters_line(roster))
             self.settle_due = self._settle_at(now) if roster.joint else math.inf
+        if self.proposer.unlike is not None and not self.unlike:
+            self.unlike = True
+            others = ", ".join(self.proposer.unlike.names)
+            self.changed.append(f"some voters were founded as {others}, others as {', '.join(roster.names)}: "
+                                "they never vote together; begin the fleet anew from one file")
         if now >= self.settle_due:
             self.settle_due = self._settle_at(now)
             self.reseat((), (), lambda _: None, now)
--- a/myrtlecrank/fleet/register/decide.py
+++ b/myrtlecrank/fleet/register/decide.py
@@ -264,6 +264,7 @@
         self.tries, self.pause_ms = tries, pause_ms
         self.number = 0
         self.calls = 0
+        self.unlike: Roster | None = None  # one of our number that is not ours: voters were founded apart
 
     def seated(self, roster: Roster) -> bool:
         """Takes over a roster that was chosen, if newer."""
@@ -345,4 +346,8 @@
         """Learns from refusals; True where a newer roster is among them."""
         refused = [vote for vote in votes if not vote.granted]
         self.number = max([self.number, *(vote.ballot.number for vote in refused)])
-        return any([self.seated(vote.roster) for vote in refused if vote.roster is not None])
+        rosters = [vote.roster for vote in refused if vote.roster is not None]
+        for roster in rosters:
+            if roster.number == self.roster.number >= 0 and roster.mark() != self.roster.mark():
+                self.unlike = roster
+        return any([self.seated(roster) for roster in rosters])
--- a/rig/sockets/owners.py
+++ b/rig/sockets/owners.py
@@ -165,9 +165,10 @@
         self.stands = Stands(fence)
         names = [f"n{i}" for i in range(members)]
         self.voters = names[:voters]
-        homes = {name: free_address(seed % 1000 + 40 + i) for i, name in enumerate(names)}
+        self.homes = homes = {name: free_address(seed % 1000 + 40 + i) for i, name in enumerate(names)}
         # Of a pair the one whose name comes first connects, through the proxy of that pair.
         self.links = {(a, b): Proxy(homes[b]) for a in names for b in names if a < b}
+        self.sinks = {name: Proxy(self.stands.sink) for name in names}  # each one's way to the resource
         self.duties = [f"duty-{i}" for i in range(duties)]
         self.backends = {
             name: Backend(name, folder, self.stands, self._operators(name, names, homes), seed)
@@ -190,7 +191,7 @@
             at = homes[name] if link is None else link.address
             lines += [f"[fleet.members.{name}]", f'at = "{at[0]}:{at[1]}"', f'zone = "z{i % 3}"']
         for duty in self.duties:
-            sink = self.stands.sink
+            sink = self.sinks[me].address
             lines += [f"[fleet.duties.{duty}]", f'to = "{sink[0]}:{sink[1]}"', f"every_ms = {STEP_MS:g}"]
         return "\n".join(lines) + "\n"
 
@@ -342,7 +343,7 @@
             backend.signal(signal.SIGCONT)
             backend.end()
             backend.log.close()
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.sinks.values()]:
             link.close()
 
     def run(self, seconds: float, every: float) -> Played:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -10,7 +10,10 @@
 
 import gevent
 import pytest
+from gevent import socket
 
+from myrtlecrank.fleet.links import packed
+from myrtlecrank.fleet.words import VERSION, Hello
 from rig.sockets.owners import RealPlay
 
 
@@ -147,6 +150,8 @@
     goes_on(four)
     four.backends["n1"].end()
     goes_on(four, 20)
+    rows = json.loads(four.told("memory", "n1", "--json").stdout)  # of one that does not run
+    assert {row["key"] for row in rows} >= {"duty-0", "duty-1", "fleet/voters"}
     kept(four)
 
 
@@ -165,6 +170,52 @@
     kept(four)
 
 
+def test_bytes_that_an_owner_let_go_of_before_its_lease_ran_out_come_too_late(fleet: RealPlay) -> None:
+    """Its step lies on the way to the resource while another takes over: out of reach for its own clock, and
+    kept out by the fence."""
+    old = fleet.owner("duty-0")
+    fleet.sinks[old].freeze(3.5, back=False)
+    gevent.sleep(0.2)  # a step is in it now
+    fleet.apart({old}, 3.0)
+    fleet.wait(lambda: fleet.owner("duty-0") != old)
+    fleet.wait(lambda: fleet.stands.resource.late_offered > 0)
+    goes_on(fleet, 20)
+    kept(fleet)
+
+
+def test_strangers_at_a_members_door_cost_it_a_line_each_and_nothing_else(fleet: RealPlay) -> None:
+    """One that says it is another member, one of another fleet, one that announces a message of 1 GB."""
+    home, name = fleet.homes["n0"], "n1"
+    peak = rss_kb(fleet, "n0")
+    for told in (Hello(VERSION, "rig", "n0"), Hello(VERSION, "other", name), Hello(1, "rig", name)):
+        assert refused(home, packed(told))
+    assert refused(home, packed(Hello(VERSION, "rig", "")) + (1 << 30).to_bytes(4, "little") + b"x" * 4096)
+    log = (fleet.folder / "n0.log").read_text()
+    for line in ("says that it is 'n0'", "of the fleet 'other'", "speaks version 1", "announced a message"):
+        assert log.count(line) == 1, line
+    assert rss_kb(fleet, "n0") < peak + 4096
+    goes_on(fleet, 20)
+    kept(fleet)
+
+
+def refused(home: tuple[str, int], raw: bytes) -> bool:
+    """The connection ends, whatever came of it before."""
+    with gevent.Timeout(10.0), socket.create_connection(home) as sock:
+        sock.sendall(raw)
+        try:
+            while sock.recv(4096):
+                pass
+        except ConnectionError:
+            pass
+    return True
+
+
+def rss_kb(play: RealPlay, name: str) -> int:
+    process = play.backends[name].process
+    assert process is not None
+    return int(Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * 4
+
+
 # -- what one side of a link, a disk or a clock does
 
 
@@ -177,12 +228,12 @@
 
 
 def test_an_owner_that_is_left_with_half_of_the_members_stops(four: RealPlay) -> None:
-    """Two and two: of three voters one side has two, and only there a duty is owned."""
-    four.wait(lambda: {four.owner(duty) for duty in four.duties} != {"n2"})
-    side = {"n0", "n3"} if four.owner("duty-0") in ("n0", "n3") else {"n1", "n2"}
-    four.apart(side, 5.0)
-    majority = {"n1", "n2"}
-    four.wait(lambda: {four.owner(duty) for duty in four.duties} <= majority)
+    """Two and two: the owner's side has one of the three voters, and only on the other one is a duty
+    owned."""
+    old = four.owner("duty-0")
+    side = {old, "n3" if old != "n3" else "n0"}
+    four.apart(side, 6.0)
+    four.wait(lambda: not {four.owner(duty) for duty in four.duties} & side)
     goes_on(four, 20)
     kept(four)
 
--- a/tests/test_fleet_reseat.py
+++ b/tests/test_fleet_reseat.py
@@ -351,6 +351,14 @@
     assert a.memory.roster == ABD and set(a.heard) == {"b"} and not a.voting
 
 
+def test_voters_that_were_founded_apart_are_told(net: Net) -> None:
+    net.voters["c"] = Voter("c", "abc", Memory("f", "c", 0, {}, {}, founding("cde")), lambda _: True, "f")
+    net.away = {"b"}
+    proposer = net.proposer("p", ABC)
+    assert net.run(proposer.read("k")).result is Result.AWAY
+    assert proposer.unlike == founding("cde") and proposer.roster == ABC
+
+
 # -- histories
 
 
