What a vote leaves at its default is not sent

Need: a voter's bytes grow with the members. Change: ballots, records, slots and votes leave defaults out; memories of either form are read.

--- a/myrtlecrank/fleet/register/words.py
+++ b/myrtlecrank/fleet/register/words.py
@@ -11,7 +11,7 @@
 from myrtlecrank.fleet.register.roster import GUESS, Roster
 
 
-class Ballot(Struct, frozen=True, order=True):
+class Ballot(Struct, frozen=True, order=True, omit_defaults=True):
     """Orders all attempts to change a record. `by` is new with each start of a proposer: a number that two
     starts of one process both use would let two values stand under one ballot."""
 
@@ -19,7 +19,7 @@
     by: str = ""
 
 
-class Record(Struct, frozen=True):
+class Record(Struct, frozen=True, omit_defaults=True):
     """What a key holds. Version 0 stands for a key that nobody has written.
 
     `writer` names the one call that wrote it, by which a proposer knows its own change again after a reply
@@ -65,7 +65,7 @@
 Ask = Prepare | Accept | Glance | Keys | Enlist
 
 
-class Vote(Struct, frozen=True, tag=True):
+class Vote(Struct, frozen=True, tag=True, omit_defaults=True):
     """A voter's answer. Where `granted` is false, `ballot` is the one that stood above, or `roster` the one
     that the voter goes by where that is another than it was asked under.
 
@@ -74,16 +74,16 @@
     voter: str
     boot: int
     granted: bool
-    ballot: Ballot
-    accepted: Ballot
-    record: Record
-    boots: dict[str, int]
+    ballot: Ballot = Ballot()
+    accepted: Ballot = Ballot()
+    record: Record = NOTHING
+    boots: dict[str, int] = {}
     seat: str = ""
     roster: Roster | None = None
     keys: list[str] = []
 
 
-class Slot(Struct):
+class Slot(Struct, omit_defaults=True):
     """What a voter keeps of one key."""
 
     promised: Ballot = Ballot()
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -17,10 +17,8 @@
 from rig.sockets.owners import RealPlay
 
 
-@pytest.fixture
-def four(tmp_path: Path) -> Iterator[RealPlay]:
-    """Four members of which three vote, two duties, each owned."""
-    play = RealPlay(2, 4, 3, 2, True, tmp_path)
+def played(play: RealPlay) -> Iterator[RealPlay]:
+    """Each duty owned, each voter votes."""
     try:
         play.begin()
         yield play
@@ -30,13 +28,14 @@
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[RealPlay]:
-    """Three members that all vote, two duties, each owned."""
-    play = RealPlay(1, 3, 3, 2, True, tmp_path)
-    try:
-        play.begin()
-        yield play
-    finally:
-        play.finish()
+    """Three members that all vote, two duties."""
+    yield from played(RealPlay(1, 3, 3, 2, True, tmp_path))
+
+
+@pytest.fixture
+def four(tmp_path: Path) -> Iterator[RealPlay]:
+    """Four members of which three vote, two duties."""
+    yield from played(RealPlay(2, 4, 3, 2, True, tmp_path))
 
 
 def steps(play: RealPlay) -> int:
