The rig finds the newest roster in one place, and a caller carries what it last saw

Need: three plays looked for the newest roster of the voters each in its own way, and two set what an asker last saw behind its back. Change: `newest` in `rig/several/member.py` serves the three; `Asker` takes `last`. Nothing of the program.

--- a/rig/several/history.py
+++ b/rig/several/history.py
@@ -17,7 +17,7 @@
 from myrtlecrank.fleet.register.words import NOTHING, Memory, Outcome, Record, Result
 from myrtlecrank.fleet.words import Message, Voted
 from rig.several.judge import Op, linearizable
-from rig.several.member import PACKED, UNPACK, Disk, VoterHost
+from rig.several.member import PACKED, UNPACK, Disk, VoterHost, newest
 from rig.several.world import Host, World
 
 KEY = "key"
@@ -50,9 +50,9 @@
     """What one caller asks of the register and how it ended, as the checker wants it: reads, and changes over
     what it last saw."""
 
-    def __init__(self, proposer: Proposer, history: list[Op], chance: Callable[[], float]) -> None:
-        self.proposer, self.history, self.chance = proposer, history, chance
-        self.last: Record = NOTHING
+    def __init__(self, proposer: Proposer, history: list[Op], chance: Callable[[], float],
+                 last: Record = NOTHING) -> None:
+        self.proposer, self.history, self.chance, self.last = proposer, history, chance, last
 
     def next(self, now: float) -> tuple[Call, Op]:
         if self.chance() < 0.4:
@@ -99,8 +99,7 @@
         ident, chance = f"{self.name}/{self.host.life}", self.play.world.random.random
         self.proposer = Proposer(ident, guessed(self.play.founders), chance, tries=4, pause_ms=5.0)
         last = self.asker.last if self.asker is not None else NOTHING
-        self.asker = Asker(self.proposer, self.play.history, chance)
-        self.asker.last = last
+        self.asker = Asker(self.proposer, self.play.history, chance, last)
         if self.play.plant is not None:
             self.play.plant(self)
         self.host.later(self.play.world.now + self.play.world.random.uniform(0.0, 20.0), self.next)
@@ -233,8 +232,7 @@
         world.at(world.now + random.expovariate(1.0 / 25.0), self.fault)
 
     def roster(self) -> Roster:
-        return max((one.voter.voter.memory.roster for one in self.nodes.values() if one.voter is not None),
-                   key=lambda one: one.number)
+        return newest(one.voter.voter for one in self.nodes.values() if one.voter is not None)
 
     def voters(self) -> list[Node]:
         return [self.nodes[name] for name in self.roster().names]
--- a/rig/several/member.py
+++ b/rig/several/member.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -12,7 +12,7 @@
 from myrtlecrank.fleet.register.calls import Letter, replies
 from myrtlecrank.fleet.register.decide import Voter
 from myrtlecrank.fleet.register.disk import decode, encode
-from myrtlecrank.fleet.register.roster import founding
+from myrtlecrank.fleet.register.roster import Roster, founding
 from myrtlecrank.fleet.register.words import Known, Memory, Seated
 from myrtlecrank.fleet.steps import Effect
 from myrtlecrank.fleet.words import Message
@@ -40,6 +40,11 @@
         self.writing = None
 
 
+def newest(voters: Iterable[Voter]) -> Roster:
+    """The newest roster that any of these goes by."""
+    return max((one.memory.roster for one in voters), key=lambda roster: roster.number)
+
+
 class VoterHost:
     """The voter of one member: questions that wait while a flush is under way go together under the next
     one."""
--- a/rig/several/owners.py
+++ b/rig/several/owners.py
@@ -15,7 +15,7 @@
 from myrtlecrank.fleet.register.roster import Roster
 from myrtlecrank.fleet.steps import Effect, Work
 from rig.several.judge import Away, Resource, at_once
-from rig.several.member import Member
+from rig.several.member import Member, newest
 from rig.several.world import World
 
 DRIFT = 0.01
@@ -146,8 +146,7 @@
 
     def roster(self) -> Roster:
         """The newest that any voter goes by."""
-        return max((v.voter.voter.memory.roster for v in self.members if v.voter is not None),
-                   key=lambda one: one.number)
+        return newest(v.voter.voter for v in self.members if v.voter is not None)
 
     def voters(self) -> list[Member]:
         names = self.roster().names
--- a/rig/several/shuffle.py
+++ b/rig/several/shuffle.py
@@ -19,11 +19,11 @@
 from myrtlecrank.fleet.register.disk import decode, encode
 from myrtlecrank.fleet.register.reseat import Reseated
 from myrtlecrank.fleet.register.roster import Roster, founding, guessed
-from myrtlecrank.fleet.register.words import VOTERS, Memory, Outcome, Record, Result
+from myrtlecrank.fleet.register.words import NOTHING, VOTERS, Memory, Outcome, Record, Result
 from myrtlecrank.fleet.words import Message, Voted
 from rig.several.history import Asker, judged
 from rig.several.judge import Op
-from rig.several.member import PACKED, UNPACK
+from rig.several.member import PACKED, UNPACK, newest
 
 FOUNDERS, ALL = ("v0", "v1", "v2"), ("v0", "v1", "v2", "v3", "v4")
 OPS = 26
@@ -53,9 +53,8 @@
         name, random = self.name, self.play.random
         self.calls = Calls(1.0, lambda to, message: self.play.send(name, to, message))
         self.proposer = Proposer(f"{name}/{self.lives}", guessed(FOUNDERS), random.random, tries=4)
-        last = self.asker.last if self.asker is not None else None
-        self.asker = Asker(self.proposer, self.play.history, random.random)
-        self.asker.last = last or self.asker.last
+        last = self.asker.last if self.asker is not None else NOTHING
+        self.asker = Asker(self.proposer, self.play.history, random.random, last)
         self.changed = 0
 
     def go_on(self) -> None:
@@ -125,9 +124,9 @@
 
     def lose(self) -> None:
         """One memory at a time: only while all that vote do."""
-        newest = max((one.memory.roster for one in self.voters.values()), key=lambda roster: roster.number)
-        if all(self.voters[name].voting for name in newest.names):
-            name = self.random.choice(newest.names)
+        names = newest(self.voters.values()).names
+        if all(self.voters[name].voting for name in names):
+            name = self.random.choice(names)
             self.images.pop(name, None)
             self.start(name)
 
