Runs' calls to the layer below are made on sockets; a site that has one starts

Cause: every backend of cardiff-quiz ended with 2 at its start: `orders.parse` turned down any site with a layer below. So it is not the agent that calls, as was thought: it tells of the call, and the run waits until the backend brings the result. Excluded: a dependency that is down (nothing ever connected to it), lost links (none). Second fault in the same lines: a notice that was not known was read as a line without its body, so a body that holds `outcome ...` would have been believed (bodies with `HTTP/1.1 200 OK`, `$-1` and `END` lines were seen). `port.Call` and `port.Skip` ended the process. Change: `below/` holds the link (OP, UNOP; many calls on one connection, opened again, moved by SIGHUP while what is out still comes back); `core/actor.py` brings AtCall to the module, its Call and Skip to the links, and sends on once more what a lost agent's link may have swallowed.

--- /dev/null
+++ b/myrtlecrank/below/__init__.py
@@ -0,0 +1,1 @@
+"""The link to the layer below, which exchanges call while they run."""
--- /dev/null
+++ b/myrtlecrank/below/link.py
@@ -0,0 +1,159 @@
+"""The actor of the link below: writes calls, reads how they ended, opens the link again when it is lost."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from loguru import logger
+
+from myrtlecrank.below import lines
+from myrtlecrank.core.ends import OUTCOMES, End, of_error
+from myrtlecrank.core.letters import Abandon, Below, Call, CallEnded, Event
+from myrtlecrank.core.mailbox import Mailbox
+from myrtlecrank.frames.ring import Ring
+from myrtlecrank.port import Outcome
+
+MAILBOX = 4096
+CONNECT_S = 1.0
+PAUSE_S = 0.02  # between tries to connect
+UNSENT_MS = 1000.0  # the longest that a call waits for a link before it counts as never having left
+OVERDUE_MS, OVERDUE_BEATS = 200.0, 10  # past its time a call is looked for on so many beats
+FIRST_READ = 4096
+
+
+class Wire:
+    """One connection and the calls that are out on it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.out: dict[str, float] = {}  # when each is over at the latest
+        self.late_beats = 0
+        self.dropped: End | None = None
+
+    def drop(self, end: End) -> None:
+        """Its reader wakes and tells what became of the calls."""
+        self.dropped = self.dropped or end
+        self.sock.close()
+
+
+class BelowLink:
+    def __init__(self, address: tuple[str, int], tell: Callable[[Event], None]) -> None:
+        self.address, self.tell = address, tell
+        self.mailbox: Mailbox[Below] = Mailbox(MAILBOX)
+        self.wire: Wire | None = None
+        self.wires: dict[Wire, None] = {}  # those left behind, too, while calls are out on them
+        self.now = 0.0
+        self.away = False
+
+    def run(self) -> None:
+        """Writes what is wanted; many calls share one connection."""
+        while True:
+            wanted = self.mailbox.take()
+            wire = self.wire
+            if wire is None and any(isinstance(one, Call) for one in wanted):
+                wire = self._open(max(one.timeout for one in wanted if isinstance(one, Call)))
+            if wire is None:
+                for one in wanted:
+                    if isinstance(one, Call):
+                        self.tell(CallEnded(one.ident, Outcome.UNREACHED, b""))
+                continue
+            self._write(wire, wanted)
+
+    def _write(self, wire: Wire, wanted: list[Below]) -> None:
+        ring = Ring()
+        for one in wanted:
+            # A call is out before its first byte: once the write has begun nothing proves that it never came.
+            if isinstance(one, Call):
+                wire.out[one.ident] = self.now + one.timeout
+            elif all(one.ident not in other.out for other in self.wires):
+                continue
+            ring.append(lines.command(one))
+            if isinstance(one, Abandon):
+                for other in self.wires:
+                    other.out.pop(one.ident, None)
+        try:
+            while ring:
+                ring.skip(wire.sock.send(ring.data()))
+        except OSError as error:
+            wire.drop(of_error(error))
+
+    def _open(self, patience: float) -> Wire | None:
+        """A connection, tried for as long as the calls can wait for one."""
+        tried = 0.0
+        while tried < min(UNSENT_MS, patience):
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                sock.settimeout(CONNECT_S)
+                sock.connect(self.address)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError as error:
+                sock.close()
+                if not self.away:
+                    logger.warning("the layer below: {}", of_error(error).value)
+                self.away = True
+                tried += CONNECT_S * 1000.0 if of_error(error) is End.SILENT else PAUSE_S * 1000.0
+                gevent.sleep(PAUSE_S)
+                continue
+            sock.settimeout(None)
+            if self.away:
+                logger.info("the layer below answers again")
+            self.away = False
+            self.wire = wire = Wire(sock)
+            self.wires[wire] = None
+            gevent.spawn(self._read, wire)
+            return wire
+        return None
+
+    def move(self, address: tuple[str, int]) -> None:
+        """New calls go to the new address; what is out on the old one may still come back from there."""
+        if address == self.address:
+            return
+        self.address = address
+        wire, self.wire = self.wire, None
+        if wire is not None and not wire.out:
+            wire.drop(End.LEFT)
+
+    def look(self, now: float) -> None:
+        """Guards against a layer that never says how a call ended. Beats on which one was late are counted,
+        and not time: while we stand still nothing can be heard."""
+        self.now = now
+        for wire in list(self.wires):
+            late = bool(wire.out) and now > min(wire.out.values()) + OVERDUE_MS
+            wire.late_beats = wire.late_beats + 1 if late else 0
+            if wire.late_beats > OVERDUE_BEATS:
+                wire.drop(End.SILENT)
+
+    def _read(self, wire: Wire) -> None:
+        end = self._replies(wire)
+        end = wire.dropped or end
+        wire.sock.close()
+        self.wires.pop(wire, None)
+        if self.wire is wire:
+            self.wire = None
+        if wire.out:
+            logger.warning("the link below {} with {} calls out", end.value, len(wire.out))
+        lost = Outcome.RESET if end in (End.UNREACHED, End.LEFT) else OUTCOMES[end]
+        for ident in wire.out:
+            self.tell(CallEnded(ident, lost, b""))
+        wire.out.clear()
+
+    def _replies(self, wire: Wire) -> End:
+        ring = Ring(FIRST_READ)
+        try:
+            while True:
+                count = wire.sock.recv_into(ring.room())
+                if count == 0:
+                    return End.CLOSED
+                ring.wrote(count)
+                for reply in lines.replies(ring):
+                    if wire.out.pop(reply.ident, None) is not None:
+                        self.tell(CallEnded(reply.ident, reply.outcome, reply.result))
+                if wire is not self.wire and not wire.out:
+                    return End.LEFT
+        except OSError as error:
+            return of_error(error)
+        except lines.Broken as error:
+            logger.error("the layer below sent {}", error)
+            return End.BROKEN
--- a/myrtlecrank/cli.py
+++ b/myrtlecrank/cli.py
@@ -92,6 +92,8 @@
     facts = told.facts
     click.echo(f"{told.name} listens on {told.listen[0]}:{told.listen[1]}")
     click.echo(f"agent {told.agent[0]}:{told.agent[1]}, list {told.members[0]}:{told.members[1]}")
+    if told.records is not None:
+        click.echo(f"layer below {told.records[0]}:{told.records[1]}")
     click.echo(f"{facts.cores} cores, {facts.memory_kb:.0f} KB, {told.sockets} sockets")
     for group in facts.groups:
         click.echo(f"{group.name}: {group.kind.value}, SLO time {group.slo:.0f} ms, "
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -19,12 +19,19 @@
 from myrtlecrank.core.board import Board
 from myrtlecrank.core.ends import OUTCOMES, End
 from myrtlecrank.core.letters import (
+    Abandon,
     Adopt,
     Answer,
     Arrived,
+    AtCall,
+    Below,
+    Call,
+    CallEnded,
     CallersLeft,
     Command,
+    Deliver,
     Event,
+    Forgo,
     Freeze,
     Greeted,
     Launch,
@@ -62,8 +69,9 @@
 class Entry:
     """One exchange in the table, from its arrival until nothing can ask for it any more."""
 
-    __slots__ = ("answered", "doubt", "earlier", "ended_at", "ex", "genuine", "joiners", "launch", "outcome",
-                 "result", "rivals", "running", "stop", "stopping", "ticket")
+    __slots__ = ("answered", "asked", "called_at", "doubt", "earlier", "ended_at", "ex", "genuine",
+                 "handed", "handed_by", "joiners", "launch", "outcome", "result", "rivals", "running",
+                 "stop", "stopping", "ticket")
 
     def __init__(self, ticket: Ticket, ex: port.Exchange, earlier: Entry | None) -> None:
         self.ticket, self.ex, self.earlier = ticket, ex, earlier
@@ -76,6 +84,10 @@
         self.launch = self.stop = 0  # which of the commands they were, as far as these may have come through
         self.genuine = False  # the agent ran it, so no other under its name can be the one it knows
         self.rivals: list[Ticket] = []  # others that came under its name
+        self.asked = b""  # what the call is about that it stands at
+        self.called_at: float | None = None  # while that call is out
+        self.handed: Deliver | Forgo | None = None  # how the run got on from its call, until it tells more
+        self.handed_by = 0  # which of the commands that was; 0: it may never have come through
 
 
 class Core:
@@ -87,11 +99,12 @@
         tell_health: Callable[[bool], None],
         now: float | None = None,
         repeats: Bounds | None = None,
+        below: Callable[[Below], None] | None = None,
     ) -> None:
         self.mailbox: Mailbox[Event] = Mailbox(MAILBOX)
         self.board = Board(idle=facts.idle)
         self.facts, self.stop_ms = facts, stop_ms
-        self.command, self.tell_health = command, tell_health
+        self.command, self.tell_health, self.below = command, tell_health, below
         self.on_beat: list[Callable[[float], None]] = []
         self.on_shut: list[Callable[[], None]] = []
         self.now = unix_ms() if now is None else now
@@ -153,6 +166,10 @@
                 self._arrived(ticket)
             case RunEnded(ident, outcome, took, result, refused):
                 self._run_ended(ident, outcome, took, result, not refused)
+            case AtCall(ident, body):
+                self._at_call(ident, body)
+            case CallEnded(ident, outcome, result):
+                self._call_ended(ident, outcome, result)
             case Sampled(tag, gauges):
                 self._sampled(tag, gauges)
             case CallersLeft(tickets):
@@ -195,6 +212,8 @@
             if entry.running and entry.launch > self.taken_in:
                 entry.doubt, entry.launch = lost, 0
                 self.doubted[entry] = None
+            if entry.handed_by > self.taken_in:
+                entry.handed_by = 0
 
     def _settle_doubts(self) -> None:
         for entry in list(self.table.values()):
@@ -204,6 +223,9 @@
                 self._lost(entry) if unrun else self._freeze(entry)
             elif entry.running and entry.doubt is not None and (unrun or repeatable):
                 self._launch(entry)
+            elif entry.running and entry.handed is not None and not entry.handed_by:
+                # No further call and no end were among what was missed: it stands where it stood.
+                self._hand_on(entry, entry.handed)
 
     def _lost(self, entry: Entry) -> None:
         """Guards against runs that nothing would end: of one whose launch was lost, no notice comes, not even
@@ -313,6 +335,8 @@
             return
         entry.running = False
         entry.genuine = genuine
+        entry.handed = None
+        self._abandon(entry)
         self.doubted.pop(entry, None)
         self._ended(entry, outcome, took, result)
 
@@ -340,6 +364,7 @@
             given_up = verdict is not Verdict.COMPLETED
             said = self.board.value
             marks.answered(self.repeats, entry.ex, entry.ticket.body, given_up, wait, said, self.now)
+            self._abandon(entry)
             entry.ticket.answer(Answer(entry.ticket, verdict, result, wait, last))
 
     def _answered(self, entry: Entry) -> None:
@@ -404,8 +429,12 @@
                 self._forget(self.entries[ex])
             case port.Join(ex):
                 self._ask_for(self.entries[ex])
-            case port.Call() | port.Skip():
-                raise NotImplementedError("this protocol has no calls to a layer below")
+            case port.Call(ex, timeout):
+                entry = self.entries[ex]
+                entry.called_at = self.now
+                self._ask_below(Call(entry.ticket.ident, timeout, entry.asked))
+            case port.Skip(ex):
+                self._hand_on(self.entries[ex], Forgo(self.entries[ex].ticket.ident))
 
     def _launch(self, entry: Entry) -> None:
         if self.linked:
@@ -417,6 +446,46 @@
             entry.doubt = Outcome.UNREACHED
             self.doubted[entry] = None
 
+    # Calls to the layer below: the run stands still until its call has come back and is handed on
+
+    def _at_call(self, ident: str, body: bytes) -> None:
+        entry = self.table.get(ident)
+        if entry is None or not entry.running or entry.called_at is not None or self.controller is None:
+            return
+        if self.below is None:
+            logger.warning("a run came to a call, and the settings name no layer below")
+            return
+        entry.asked, entry.handed, entry.doubt, entry.launch = body, None, None, 0
+        entry.genuine = True
+        self.doubted.pop(entry, None)
+        self._decide(entry)
+        self.controller.at_call(entry.ex, self.now)
+
+    def _call_ended(self, ident: str, outcome: Outcome, result: bytes) -> None:
+        entry = self.table.get(ident)
+        if entry is None or entry.called_at is None or self.controller is None:
+            return
+        took, entry.called_at = self.now - entry.called_at, None
+        if outcome is Outcome.OK:
+            self._hand_on(entry, Deliver(ident, result))
+        self.controller.call_ended(entry.ex, outcome, took, self.now)
+
+    def _hand_on(self, entry: Entry, how: Deliver | Forgo) -> None:
+        """Guards against a run that stands at its call for good: what was sent on a link that was lost, or
+        found none, is sent once more after the missed notices."""
+        entry.handed, entry.handed_by = how, self.order() if self.linked else 0
+        if self.linked:
+            self.command(how)
+
+    def _abandon(self, entry: Entry) -> None:
+        if entry.called_at is not None:
+            entry.called_at = None
+            self._ask_below(Abandon(entry.ticket.ident))
+
+    def _ask_below(self, wanted: Below) -> None:
+        assert self.below is not None  # or no run would have come to a call
+        self.below(wanted)
+
     def _freeze(self, entry: Entry) -> None:
         entry.stop = self.order()
         self.command(Freeze(entry.ticket.ident))
--- a/myrtlecrank/core/letters.py
+++ b/myrtlecrank/core/letters.py
@@ -93,6 +93,21 @@
     idents: list[str]
 
 
+@dataclass(slots=True)
+class AtCall:
+    """A run stands at a call to the layer below; `body` is what that is to be asked."""
+
+    ident: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class CallEnded:
+    ident: str
+    outcome: Outcome
+    result: bytes
+
+
 @dataclass(slots=True)
 class Sampled:
     tag: str
@@ -131,5 +146,41 @@
     tag: str
 
 
-Event = Arrived | CallersLeft | Greeted | Parted | Unsent | RunEnded | Sampled | Leave | Adopt
-Command = Launch | Freeze | Sample
+@dataclass(slots=True)
+class Deliver:
+    """What the layer below brought for the call that the run stands at."""
+
+    ident: str
+    result: bytes
+
+
+@dataclass(slots=True)
+class Forgo:
+    """The run goes on without the call that it stands at."""
+
+    ident: str
+
+
+# From it to the link below
+
+
+@dataclass(slots=True)
+class Call:
+    ident: str
+    timeout: float
+    body: bytes
+
+
+@dataclass(slots=True)
+class Abandon:
+    """Nobody waits for this call any more; no end of it is told."""
+
+    ident: str
+
+
+Event = (
+    Arrived | CallersLeft | Greeted | Parted | Unsent | RunEnded | AtCall | CallEnded | Sampled | Leave
+    | Adopt
+)
+Command = Launch | Freeze | Sample | Deliver | Forgo
+Below = Call | Abandon
--- a/myrtlecrank/farm/lines.py
+++ b/myrtlecrank/farm/lines.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from myrtlecrank.core.letters import Command, Freeze, Launch, Sample
+from myrtlecrank.core.letters import Command, Deliver, Forgo, Freeze, Launch, Sample
 from myrtlecrank.frames.ring import Ring
 from myrtlecrank.port import Outcome
 
@@ -16,6 +16,7 @@
     "KILLED": Outcome.CANCELLED,
     "NOOP": Outcome.MOOT,
 }
+COUNTED = {"outcome": 6, "request": 4}  # notices whose last word is a length, and the words they have
 STATES = {"EMPTY": True, "LOADED": False}  # whether the machine is cold
 
 
@@ -34,6 +35,15 @@
     result: bytes
 
 
+@dataclass(slots=True)
+class Needs:
+    """A run stands at a call to the layer below."""
+
+    number: int
+    ident: str
+    body: bytes
+
+
 @dataclass(slots=True)
 class Gauged:
     tag: str
@@ -56,7 +66,7 @@
     line: str
 
 
-Notice = Greeting | Ended | Gauged | Refused | Aside | Unknown
+Notice = Greeting | Ended | Needs | Gauged | Refused | Aside | Unknown
 
 
 class Broken(Exception):
@@ -76,8 +86,9 @@
             line, after = raw[at:end], end + 2
             words = line.decode("utf-8", "replace").split(" ")
             result = b""
-            if words[0] == "outcome" and len(words) == 6:
-                size = _count(words[5], LONGEST_RESULT)
+            # Guards against a body that reads like notices: whatever it holds is passed over by its length.
+            if len(words) == COUNTED.get(words[0]):
+                size = _count(words[-1], LONGEST_RESULT)
                 after += size + 2
                 if len(raw) < after:
                     return
@@ -101,6 +112,8 @@
         match words:
             case ["outcome", number, ident, end, took, *_]:
                 return Ended(int(number), ident, ENDS[end], float(took), result)
+            case ["request", number, ident, _]:
+                return Needs(int(number), ident, result)
             case ["sampled", tag, *values]:
                 return Gauged(tag, [float(value) for value in values])
             case ["greeting", state, up]:
@@ -126,3 +139,7 @@
             return b"freeze %b\r\n" % ident.encode()
         case Sample(tag):
             return b"sample %b\r\n" % tag.encode()
+        case Deliver(ident, result):
+            return b"deliver %b %d\r\n%b\r\n" % (ident.encode(), len(result), result)
+        case Forgo(ident):
+            return b"forgo %b\r\n" % ident.encode()
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -10,7 +10,17 @@
 from loguru import logger
 
 from myrtlecrank.core.ends import End, of_error
-from myrtlecrank.core.letters import Command, Event, Greeted, Launch, Parted, RunEnded, Sampled, Unsent
+from myrtlecrank.core.letters import (
+    AtCall,
+    Command,
+    Event,
+    Greeted,
+    Launch,
+    Parted,
+    RunEnded,
+    Sampled,
+    Unsent,
+)
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.farm import lines
 from myrtlecrank.frames.ring import Ring
@@ -134,6 +144,9 @@
             case lines.Ended(number, ident, outcome, took, result):
                 if self._new(number):
                     self.tell(RunEnded(ident, outcome, took, result))
+            case lines.Needs(number, ident, body):
+                if self._new(number):
+                    self.tell(AtCall(ident, body))
             case lines.Gauged(tag, values):
                 told = Gauges()
                 for name, value in zip(self.gauges, values, strict=False):
--- a/myrtlecrank/orders.py
+++ b/myrtlecrank/orders.py
@@ -12,7 +12,7 @@
 
 PATH_VARIABLE = "PROXY_CONFIG"
 LONGEST = 4_000_000  # bytes; a longer file is no configuration, and reading it would fill the memory
-MOVABLE = ("agent", "members")  # what a running process takes over
+MOVABLE = ("agent", "members", "records")  # what a running process takes over
 
 
 class OrdersError(Exception):
@@ -25,6 +25,7 @@
     listen: tuple[str, int]
     agent: tuple[str, int]
     members: tuple[str, int]
+    records: tuple[str, int] | None  # the layer below, where the site has one
     stop_ms: float
     sockets: int
     facts: StartFacts
@@ -97,13 +98,12 @@
         raise FieldError(f"{conf.where}: needs at least one category, one core and some memory")
     if any(not 0 < group.slo <= group.timeout for group in facts.groups):
         raise FieldError(f"{conf.where}: an aim must be above 0 and within its deadline")
-    if facts.below is not Below.NONE:
-        raise FieldError(f"{conf.where}: a layer below is not served on sockets yet")
     return Orders(
         name=fields.text("name"),
         listen=_address(fields, "listen"),
         agent=_address(fields, "agent"),
         members=_address(fields, "members"),
+        records=None if facts.below is Below.NONE else _address(fields, "records"),
         stop_ms=_positive(fields, "stop_ms"),
         sockets=int(_positive(fields.inner("limits"), "sockets")),
         facts=facts,
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from myrtlecrank import log
+from myrtlecrank.below.link import BelowLink
 from myrtlecrank.core.actor import Core, unix_ms
 from myrtlecrank.core.letters import Adopt, Leave
 from myrtlecrank.edge.front import Front
@@ -47,8 +48,10 @@
     gevent.config.resolver = "block"
     link: Link
     roll = Roll(orders.members, orders.name)
+    core: Core
+    below = None if orders.records is None else BelowLink(orders.records, lambda e: core.mailbox.post(e))
     core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.tell,
-                repeats=operators.repeats)
+                repeats=operators.repeats, below=None if below is None else below.mailbox.post)
     link = Link(orders.agent, orders.gauges, core.mailbox.post)
     over, code = Flag(), [0]
 
@@ -119,12 +122,17 @@
         if unlike:
             logger.warning("these take a new start and stay as they were: {}", ", ".join(unlike)[:200])
         logger.info("configuration read: agent {}:{}, list {}:{}", *told.agent, *told.members)
+        if below is not None and told.records is not None:
+            logger.info("configuration read: layer below {}:{}", *told.records)
+            below.move(told.records)
         link.move(told.agent)
         roll.move(told.members)
 
     core_shut = Flag()
     core.on_shut.append(core_shut.set)
     core.on_beat += [link.look, roll.beat]
+    if below is not None:
+        core.on_beat.append(below.look)
 
     def leave() -> None:
         core.mailbox.post(Leave())
@@ -140,6 +148,8 @@
     gevent.signal_handler(signal.SIGHUP, reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     works: list[Callable[[], object]] = [core.run, link.run, link.write, roll.run, front.run, watch_leaving]
+    if below is not None:
+        works.append(below.run)
     for work in works + (fleet.actors() if fleet is not None else []):
         spawn(work)
     logger.info("{} listens on {}:{}", orders.name, *orders.listen)
