Tries of a deduplicated exchange are linked by their key: one run within the window

Frames of deduplicated groups carry `k`, the same on both tries with; `frames/codec.py` dropped it, so no try was ever linked. Twins in `core/actor.py`, all read as for shared reads: `_earlier` forgot a run `share_for` (0) after its end, `_ended` forgot what ended other than well, a repeat read after the window though it came within it was new, those that wait for one that was given up before it ran waited until their own time was up, and a full store would drop keys.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -59,6 +59,8 @@
 IDLE_BEAT_MS = 100.0  # between beats while there is no controller to ask for them
 RESULT_AT_MOST = 5120  # a result and what stands around it
 KEPT_BYTES = 24_000_000  # results kept for repeats, of the program's own memory
+PROVEN_UNRUN = (Outcome.MOOT, Outcome.UNREACHED)
+Key = tuple[int, str]
 Do = Callable[[], object]
 
 
@@ -70,11 +72,12 @@
     """One exchange in the table, from its arrival until nothing can ask for it any more."""
 
     __slots__ = ("answered", "asked", "called_at", "doubt", "earlier", "ended_at", "ex", "genuine",
-                 "handed", "handed_by", "joiners", "launch", "outcome", "result", "rivals", "running",
-                 "stop", "stopping", "ticket")
+                 "handed", "handed_by", "joiners", "launch", "outcome", "print", "result", "rivals",
+                 "running", "stop", "stopping", "ticket")
 
     def __init__(self, ticket: Ticket, ex: port.Exchange, earlier: Entry | None) -> None:
         self.ticket, self.ex, self.earlier = ticket, ex, earlier
+        self.print = hash(ticket.body)
         self.answered = self.running = self.stopping = False
         self.doubt: Outcome | None = None  # what became of a launch whose link was lost
         self.outcome: Outcome | None = None
@@ -116,7 +119,8 @@
         self.table: dict[str, Entry] = {}
         self.entries: dict[port.Exchange, Entry] = {}
         self.unanswered = 0
-        self.kept: dict[tuple[int, str], tuple[Entry, float]] = {}
+        self.kept: dict[Key, tuple[Entry, float]] = {}
+        self.heavy: dict[Key, None] = {}  # those that count with a result, the eldest first
         self.kept_bytes = 0
         self.timers: list[tuple[float, int, Do]] = []
         self.order = count(1).__next__
@@ -260,12 +264,15 @@
             logger.warning("an exchange is terminated: it came before the start")
             ticket.answer(Answer(ticket, Verdict.TERMINATED))
             return
+        earlier = self._earlier(ticket)
         standing = self.table.get(ticket.ident)
+        if standing is None and earlier is not None and self._deduplicated(earlier):
+            # Tries of one exchange have one body: who brings another one used somebody's key.
+            standing = earlier if earlier.print != hash(ticket.body) else None
         if standing is not None:
             self._contest(standing, ticket)
             return
         waited = max(0.0, self.now - ticket.reached)
-        earlier = self._earlier(ticket)
         ex = port.Exchange(
             group=ticket.group,
             left=None if ticket.wait is None else ticket.wait - waited,
@@ -296,9 +303,9 @@
         self._tidy(entry)
 
     def _contest(self, standing: Entry, ticket: Ticket) -> None:
-        """One name cannot stand for two runs, and only the agent knows which of two is the real one: the
-        second waits, not for long, until the agent has taken in or refused the first. Guards against clients
-        that use the names of others, before or after them."""
+        """One name cannot stand for two runs, nor one key for two bodies, and only the agent knows which is
+        the real one: the second waits, not for long, until the agent has taken in or refused the first.
+        Guards against clients that use the names or keys of others, before or after them."""
         self.unanswered += 1
         standing.rivals.append(ticket)
         self.contested[standing] = None
@@ -353,7 +360,7 @@
         for joiner in entry.joiners:
             self._join(joiner, entry)
         entry.joiners.clear()
-        if outcome is not Outcome.OK:
+        if outcome is not Outcome.OK and not (self._deduplicated(entry) and outcome not in PROVEN_UNRUN):
             self._forget(entry)
         self._tidy(entry)
 
@@ -377,6 +384,14 @@
             del self.table[entry.ticket.ident]
             del self.entries[entry.ex]
             entry.ex.course = None  # or the two would hold each other until the collector comes
+            if self._deduplicated(entry):
+                entry.ticket.body = b""  # its key may stay for long
+            if entry.outcome is None:
+                # It never ran, so it stands in no repeat's way; those that wait for it wait for nothing.
+                self._forget(entry)
+                for joiner in entry.joiners:
+                    self._at(self.now, partial(self._join, joiner, None))
+                entry.joiners.clear()
             self._decide(entry)
             rivals, entry.rivals = entry.rivals, []
             self.contested.pop(entry, None)
@@ -500,7 +515,7 @@
         tag = self.sampled = self._sample("b")
         self._at(self.now + self.alarm[1], lambda: self._sampled(tag, Gauges(), late=True))
         self._beat()
-        for key in [key for key, (_, until) in self.kept.items() if self.now > until]:
+        for key in [key for key, (entry, until) in self.kept.items() if self.now > until + self._tail(entry)]:
             self._drop(key)
 
     def _sample(self, kind: str) -> str:
@@ -562,11 +577,16 @@
         for line in self.report.lines(tide, self.board.value, self.now):
             logger.info("{}", line)
 
-    # Kept results: repeats of what a read is about
+    # Kept results: repeats of what a read is about, and of deduplicated exchanges
 
     def _earlier(self, ticket: Ticket) -> Entry | None:
         entry, until = self.kept.get((ticket.group, ticket.about), (None, 0.0))
-        if entry is None or not ticket.about or self.now > until:
+        if entry is None or not ticket.about:
+            return None
+        if self._deduplicated(entry):
+            # The window is one of arrivals: a repeat may be read long after it came.
+            return entry if min(ticket.reached, self.now) <= until else None
+        if self.now > until:
             return None
         if entry.outcome is not None and self.now > entry.ended_at + self.facts.share_for:
             return None
@@ -579,17 +599,39 @@
         key = (ticket.group, ticket.about)
         self._drop(key)
         self.kept[key] = (entry, self.now + span)
+        self.heavy[key] = None
         self.kept_bytes += RESULT_AT_MOST
         while self.kept_bytes > KEPT_BYTES:
-            self._drop(next(iter(self.kept)))
+            self._lighten(next(iter(self.heavy)))
+
+    def _deduplicated(self, entry: Entry) -> bool:
+        return self.facts.groups[entry.ticket.group].kind is Kind.DEDUPLICATED
+
+    def _tail(self, entry: Entry) -> float:
+        """How long after its window a repeat that came within it may still be read."""
+        return self.facts.groups[entry.ticket.group].timeout if self._deduplicated(entry) else 0.0
+
+    def _lighten(self, key: Key) -> None:
+        """Guards our own memory. A read is forgotten; of a deduplicated exchange only the result goes: its
+        repeats are terminated then, but never run."""
+        entry, _ = self.kept[key]
+        if not self._deduplicated(entry):
+            self._drop(key)
+            return
+        del self.heavy[key]
+        self.kept_bytes -= RESULT_AT_MOST
+        if entry.outcome is Outcome.OK:
+            entry.outcome, entry.result = Outcome.ERROR, b""
 
     def _forget(self, entry: Entry) -> None:
         key = (entry.ticket.group, entry.ticket.about)
         if self.kept.get(key, (None,))[0] is entry:
             self._drop(key)
 
-    def _drop(self, key: tuple[int, str]) -> None:
-        if self.kept.pop(key, None) is not None:
+    def _drop(self, key: Key) -> None:
+        self.kept.pop(key, None)
+        if key in self.heavy:
+            del self.heavy[key]
             self.kept_bytes -= RESULT_AT_MOST
 
     def _ask_for(self, entry: Entry) -> None:
--- a/myrtlecrank/core/letters.py
+++ b/myrtlecrank/core/letters.py
@@ -32,7 +32,7 @@
     kb: float
     rank: float
     caller: int
-    about: str
+    about: str  # what a read is about, or the key of a deduplicated exchange
     body: bytes
     answer: Callable[[Answer], None]
     place: Any = None  # where the answer goes: the front's own
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        groups: dict[str, tuple[int, float]],  # the number of each, and its deadline
+        groups: dict[str, tuple[int, float, bool]],  # number, deadline, whether it is deduplicated
         tenants: dict[str, int],
         tells_left: bool,
         board: Board,
@@ -56,7 +56,7 @@
 
     def asked(self, connection: Connection, ask: codec.Ask) -> None:
         """What it brings has just been read: the connection was last used now."""
-        group, deadline = self.groups.get(ask.group, (None, 0.0))
+        group, deadline, deduplicated = self.groups.get(ask.group, (None, 0.0, False))
         tenant = self.tenants.get(ask.tenant or "") if self.tenants else 0
         if group is None or tenant is None:
             name = f"endpoint group {ask.group[:40]!r}" if group is None else f"tenant {ask.tenant!r}"
@@ -65,6 +65,10 @@
         if self.tells_left and ask.wait is None:
             connection.spoiled(ask.stream, "no time that its caller waits")
             return
+        if deduplicated and not ask.key:
+            # Guards against a second run: no repeat of it could be known.
+            connection.spoiled(ask.stream, "no key by which repeats are known")
+            return
         if ask.reached > connection.last_used + AHEAD_MS or (ask.wait or 0.0) > WAITS * deadline:
             connection.spoiled(ask.stream, "times that cannot be")
             return
@@ -77,7 +81,7 @@
             kb=ask.kb,
             rank=ask.rank,
             caller=ask.caller,
-            about=ask.about or "",
+            about=(ask.key if deduplicated else ask.about) or "",
             body=ask.body,
             answer=self.mailbox.post,
             place=(connection, ask.stream),
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -16,6 +16,7 @@
 from myrtlecrank.edge.connection import Connection
 from myrtlecrank.edge.pace import Accepting, Pace
 from myrtlecrank.frames import codec
+from myrtlecrank.port import Kind
 
 BACKLOG = 512
 SPARE_SOCKETS = 24  # left for the agent, the list, files of the interpreter: some ten are used
@@ -36,7 +37,10 @@
         self.core, self.board, self.spawn = core, core.board, spawn
         self.most = max(1, sockets - SPARE_SOCKETS)
         facts = core.facts
-        self.groups = {group.name: (i, group.timeout) for i, group in enumerate(facts.groups)}
+        self.groups = {
+            group.name: (i, group.timeout, group.kind is Kind.DEDUPLICATED)
+            for i, group in enumerate(facts.groups)
+        }
         self.tenants = {tenant.name: i for i, tenant in enumerate(facts.tenants)}
         self.callers: dict[int, Caller] = {}
         self.connections: dict[Connection, None] = {}  # the one that was idle longest first
--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -16,6 +16,7 @@
 BODY, RESULT = 2048, 4096
 IDENT = re.compile(rb"[0-9a-fA-F]{16}")
 WHOLE, PLAIN = re.compile(rb"[0-9]{1,15}"), re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
+LONGEST_KEY = 256
 OPEN_STREAMS = 32  # exchanges that one connection may carry at a time
 ASK, ANSWER, CHECK, CHECKED, AWAY = 10, 11, 20, 21, 30
 COMPLETED, DENIED, TERMINATED = 0, 1, 2
@@ -36,6 +37,7 @@
     kb: float
     rank: float
     about: str | None
+    key: str | None  # the same for every try of a deduplicated exchange
     body: bytes
 
 
@@ -183,7 +185,9 @@
         kb = _number(values, b"m", PLAIN, 2000.0)
         if kb == 0.0:
             raise _Unfit("no memory that is booked for it")
-        tenant, about = values.get(b"t"), values.get(b"o")
+        tenant, about, key = values.get(b"t"), values.get(b"o"), values.get(b"k")
+        if len(key or b"") > LONGEST_KEY:
+            raise _Unfit("a key that is too long")
         return Ask(
             stream,
             group=values[b"c"].decode(),
@@ -195,6 +199,7 @@
             kb=kb,
             rank=_number(values, b"p", PLAIN, 1.0, 0.0),
             about=None if about is None else about.decode(),
+            key=None if key is None else key.decode(),
             body=raw[at:],
         )
     except _Unfit as error:
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -102,6 +102,7 @@
         self.reached = now - ex.waited
         self.first = self.reached - ex.age  # the SLO time counts from here
         self.kb = ex.kb
+        self.key_until = 0.0  # while the room of its key is booked
         self.wake = 0.0  # its entry in the due times that counts
         self.began = self.cpu = self.below_ms = 0.0
         self.value = 0.0
@@ -244,6 +245,8 @@
             c.answered = True
             if c.place in (Place.HELD, Place.JOINED):
                 self._over(c)
+        elif isinstance(want, port.Erase):
+            self._unkept(c)
         elif isinstance(want, port.Start):
             c.place, c.began = Place.RUNNING, self.now
             self.running[c] = None
@@ -276,9 +279,17 @@
 
     def _kept(self, c: Course, span: float) -> port.Retain:
         self.used_kb += self.key_kb
-        self._push(self.now + span, self.key_kb)
+        c.key_until = self.now + span
+        self._push(c.key_until, self.key_kb)
         return port.Retain(c.ex, span)
 
+    def _unkept(self, c: Course) -> None:
+        """What never ran has no key: its room is free at once, and is not given back again in its time."""
+        if c.key_until > self.now:
+            self.used_kb -= self.key_kb
+            self._push(c.key_until, -self.key_kb)
+            c.key_until = 0.0
+
     def _denial(self, c: Course) -> port.Deny:
         """What callers should do instead of asking at once again. The hold bridges passing noise: where it
         is full, others likely are too, and a walk from one to the next costs each a reading. So nothing
@@ -428,6 +439,8 @@
         self.ended += c.place is not Place.JOINED
         if c.place is not Place.JOINED and outcome is Outcome.OK:
             self._learn_run(c, took)
+        if outcome is Outcome.MOOT:
+            self._unkept(c)
         if outcome is Outcome.CANCELLED and not c.answered:
             c.place = Place.HELD  # stopped by none of ours: the answer is still owed
         else:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -17,7 +17,7 @@
 from myrtlecrank.edge.pace import Accepting
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring import Ring
-from myrtlecrank.port import Tenant
+from myrtlecrank.port import Kind, Tenant
 from myrtlecrank.roll.actor import Roll
 
 WAIT_S = 10.0
@@ -26,8 +26,8 @@
 class Door:
     """A front whose module's actor does not run: its mailbox is read by hand."""
 
-    def __init__(self, sockets: int = 1024) -> None:
-        self.play = Play(group(), tenants=[Tenant("acme", 1.0, 10.0)], idle=30_000.0)
+    def __init__(self, sockets: int = 1024, kind: Kind = Kind.REPEATABLE) -> None:
+        self.play = Play(group(kind), tenants=[Tenant("acme", 1.0, 10.0)], idle=30_000.0)
         self.core = self.play.core
         self.front = Front(("127.0.0.1", 0), sockets, self.core)
 
@@ -118,6 +118,18 @@
     assert (kind, stream, payload[0]) == (codec.ANSWER, 1, codec.TERMINATED)
 
 
+def test_tries_of_a_deduplicated_exchange_carry_their_key_and_without_one_it_is_not_run() -> None:
+    with gevent.Timeout(3 * WAIT_S):
+        door = Door(kind=Kind.DEDUPLICATED)
+        (_, first), (_, second) = door.open(), door.open()
+        first.sendall(ask_bytes(1, k="53bb", o="x"))
+        second.sendall(ask_bytes(1) + ask_bytes(2, k="53bb"))
+        assert [t.about for t in door.tickets(2)] == ["53bb", "53bb"]
+        kind, stream, payload = read(second)
+        assert (kind, stream, payload[0]) == (codec.ANSWER, 1, codec.TERMINATED)
+        door.front.listener.close()
+
+
 def test_more_streams_than_allowed_are_terminated(door: Door) -> None:
     _, sock = door.open()
     sock.sendall(b"".join(ask_bytes(stream) for stream in range(1, 34)))
