What was read before a connection's bad end is answered; callers that give up say so

Where the settings say that callers tell when they give up (`hangupSeen`), edge nodes do it by type 12; `codec._known` took it for garbage and `Connection.run` closed with another exchange open. Excluded: drain (n4 had no notice), a crash, a reset by the caller. Change: type 12 gives up one exchange; nothing more is read after an end or a bad frame, and the connection goes once what is open is answered; type 30 tells a caller that is gone (it resets) from one that shut its side; what still comes is taken off before the close, bounded.

--- a/myrtlecrank/core/ends.py
+++ b/myrtlecrank/core/ends.py
@@ -39,4 +39,6 @@
         return End.UNREACHED
     if error.errno == errno.EBADF:
         return End.LEFT
+    if error.errno == errno.EPIPE:
+        return End.CLOSED
     return End.RESET
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -20,16 +20,18 @@
 UNSENT = 4 * codec.RESULT  # what may wait for a slow reader before we stop reading it
 STUCK_MS = 5000.0  # a reader that takes nothing for so long is gone
 HALF_MS = 2000.0  # a frame, the first of a connection included, is whole by then
+LINGER_S, LINGER_BYTES = 0.5, 262_144  # what still comes is taken off for so long and so much before a close
+THERE_S, THERE_MOST_S = 0.001, 0.1  # between looks whether one that shut its side is still there
 GAPS = 1024  # streams beyond a gap in their numbers that are remembered one by one
-Take = Callable[["Connection", codec.Ask], None]
+Take = Callable[["Connection", codec.Ask | codec.GivenUp], None]
 
 
 class Connection:
-    def __init__(self, sock: socket.socket, board: Board, take: Take) -> None:
+    def __init__(self, sock: socket.socket, board: Board, take: Take, give_up: bool = False) -> None:
         self.sock, self.board, self.take = sock, board, take
         self._send: Callable[..., int] = sock.send  # gevent's takes a time-out as well
         self.incoming, self.outgoing = Ring(FIRST_READ), Ring()
-        self.decoder = codec.Decoder(self.incoming)
+        self.decoder = codec.Decoder(self.incoming, give_up)
         self.open: dict[int, Ticket | None] = {}
         self.caller: int | None = None
         self.used_up_to, self.used_beyond = 0, set[int]()
@@ -37,42 +39,100 @@
         self.away_at: float | None = None  # when it was told to bring nothing new
         self.end: End | None = None
         self.reading = self.flushing = False
+        self.over: End | None = None  # nothing more is read; what is open is still answered
         self.taken, self.taken_seen, self.stuck_for = 0, 0, 0.0
         self.frames, self.frames_seen, self.half_for = 0, 0, 0.0
         self.drained = Flag()
 
     def run(self) -> End:
-        """Reads until the connection ends."""
-        reads = 0
+        """Reads until the connection ends or brings nothing more; what was read by then is answered first."""
         try:
-            while self.end is None:
-                self.reading = True
-                count = self.sock.recv_into(self.incoming.room())
-                self.reading = False
-                if count == 0:
-                    return self._ended(End.CLOSED)
-                self.incoming.wrote(count)
-                for frame in self.decoder.frames():
-                    self.frame(frame)
-                self.flush()
-                while len(self.outgoing) > UNSENT and self.end is None:
-                    self.drained.clear()
-                    self.drained.wait()
-                reads += 1
-                if reads % SHARE == 0:
-                    # Guards against a sender at full speed: a socket that always has something never waits,
-                    # and so would keep the loop from all others.
-                    gevent.sleep(0)
+            self._read()
         except codec.Broken as error:
             logger.warning("a connection ends, as it brought {}", error)
+            self.over = End.BROKEN
             self.send(codec.error(self.board.value))
-            self._ended(End.BROKEN)
         except OSError as error:
             self._ended(of_error(error))
+        self.reading = False
+        if self.over is not None and self.end is None:
+            self._see_off(self.over)
         return self.end or End.LEFT
 
-    def frame(self, frame: codec.Ask | codec.Check | codec.Spoiled) -> None:
+    def _read(self) -> None:
+        reads = 0
+        while self.end is None:
+            self.reading = True
+            count = self.sock.recv_into(self.incoming.room())
+            self.reading = False
+            if count == 0:
+                self.over = End.CLOSED
+                return
+            self.incoming.wrote(count)
+            for frame in self.decoder.frames():
+                self.frame(frame)
+            self.flush()
+            while len(self.outgoing) > UNSENT and self.end is None:
+                self.drained.clear()
+                self.drained.wait()
+            reads += 1
+            if reads % SHARE == 0:
+                # Guards against a sender at full speed: a socket that always has something never waits,
+                # and so would keep the loop from all others.
+                gevent.sleep(0)
+
+    def _see_off(self, end: End) -> None:
+        """Guards exchanges that were read before a caller shut its side, or before bytes that are no frame:
+        it may still listen for their answers. Whether one that shut its side is gone altogether only writing
+        can tell: type 30 says nothing new to one that is not."""
+        if end is End.CLOSED and self.open:
+            self.send(codec.away())
+        pause = THERE_S
+        while (self.open or self.outgoing) and self.end is None:
+            self.drained.clear()
+            self.drained.wait(pause if end is End.CLOSED else None)
+            if end is End.CLOSED:
+                self._ask_if_there()
+                pause = min(2.0 * pause, THERE_MOST_S)
+        if end is End.BROKEN and self.end is None:
+            self._linger()
+        self._ended(end)
+
+    def _linger(self) -> None:
+        """A close with bytes unread is a reset, which destroys what is on its way to the caller."""
+        scratch, left = bytearray(FIRST_READ), LINGER_BYTES
+        try:
+            with gevent.Timeout(LINGER_S, TimeoutError):
+                self.sock.shutdown(socket.SHUT_WR)
+                while left > 0:
+                    count = self.sock.recv_into(scratch)
+                    if count == 0:
+                        return
+                    left -= count
+        except OSError:
+            pass
+
+    def unread(self) -> bool:
+        """Whether something lies in the system's buffer: what was never read cannot be called idle."""
+        try:
+            return bool(self._glance())
+        except OSError:
+            return False
+
+    def _glance(self) -> bytes:
+        """The next byte, if it is there, which stays; raises like any read that does not wait."""
+        usual = self.sock.gettimeout()
+        self.sock.settimeout(0.0)
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK)
+        finally:
+            self.sock.settimeout(usual)
+
+    def frame(self, frame: codec.Frame) -> None:
         self.frames += 1
+        if isinstance(frame, codec.GivenUp):
+            self.take(self, frame)
+            return
         if isinstance(frame, codec.Check):
             self.append(codec.checked(frame.stream, self.board.well, self.board.value))
             return
@@ -110,6 +170,8 @@
         """To be followed by a flush()."""
         if self.end is None and self.open.pop(stream, None) is not None:
             self.append(frame)
+            if self.over is not None:
+                self.drained.set()
 
     def tell_away(self, now: float) -> None:
         if self.away_at is None and self.end is None:
@@ -135,6 +197,8 @@
             gevent.spawn(self._flush_rest)
         except OSError as error:
             self.close(of_error(error))
+        if self.over is not None:
+            self.drained.set()
 
     def _write(self, timeout: float | None) -> None:
         while self.outgoing and self.end is None:
@@ -163,9 +227,15 @@
             self.frames_seen, self.half_for = self.frames, 0.0
         elif self.reading:
             self.half_for += passed
-            if self.half_for > HALF_MS:
+            if self.half_for > HALF_MS and not (self.open or self.outgoing):
                 self.close(End.HALF)
 
+    def _ask_if_there(self) -> None:
+        """After the end of what comes no read tells of a reset any more; the socket itself does."""
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self.close(of_error(OSError(error, "")))
+
     def close(self, end: End) -> None:
         """Ends it from our side; its reader wakes and tells the others."""
         self._ended(end)
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -4,6 +4,7 @@
 
 import errno
 from collections.abc import Callable
+from contextlib import suppress
 
 import gevent
 from gevent import socket
@@ -42,6 +43,7 @@
             for i, group in enumerate(facts.groups)
         }
         self.tenants = {tenant.name: i for i, tenant in enumerate(facts.tenants)}
+        self.give_up = facts.tells_gone
         self.callers: dict[int, Caller] = {}
         self.connections: dict[Connection, None] = {}  # the one that was idle longest first
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -91,7 +93,7 @@
         that health checks and exchanges still find a place; where none is idle, one that never brought a
         whole frame. A caller whose first frame is cut off by that knows that nothing of it ran."""
         quiet = [c for c in self.connections if not (c.open or c.flushing)]
-        gone = next((c for c in quiet if not c.decoder.halfway()), None)
+        gone = next((c for c in quiet if not c.decoder.halfway() and not c.unread()), None)
         gone = gone or next((c for c in quiet if not c.frames), None)
         if gone is not None:
             gone.close(End.LEFT)
@@ -99,8 +101,10 @@
         return gone is not None
 
     def accept(self, sock: socket.socket) -> Connection:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(sock, self.board, self.asked)
+        # Guards the listener: one that is gone by now may take no option, and ends with its first read.
+        with suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock, self.board, self.asked, self.give_up)
         connection.last_used = unix_ms()
         self.connections[connection] = None
         gevent.spawn(self._serve, connection)
@@ -114,9 +118,12 @@
         connection.close(End.BROKEN)
         self.ended(connection)
 
-    def asked(self, connection: Connection, ask: codec.Ask) -> None:
+    def asked(self, connection: Connection, ask: codec.Ask | codec.GivenUp) -> None:
         if connection.end is not None:
             return
+        if isinstance(ask, codec.GivenUp):
+            self.given_up(connection, ask.stream)
+            return
         connection.last_used = unix_ms()
         del self.connections[connection]
         self.connections[connection] = None
@@ -131,6 +138,14 @@
             caller.connections += 1
         self.callers[connection.caller].asked(connection, ask)
 
+    def given_up(self, connection: Connection, stream: int) -> None:
+        """One exchange of a connection that goes on. It gets its final answer at once, as if it crossed this
+        on its way; where that has gone out already there is nothing to do."""
+        ticket = connection.open.get(stream)
+        if ticket is not None:
+            connection.answered(stream, codec.answer(stream, codec.TERMINATED, self.board.value))
+            self.core.mailbox.put(CallersLeft([ticket]))
+
     def ended(self, connection: Connection) -> None:
         """Tells the module who has left, and lets the actor of a caller go with its last connection."""
         self.connections.pop(connection, None)
@@ -159,7 +174,7 @@
                 continue
             if connection.away_at is None:
                 connection.tell_away(now)
-            elif now - connection.away_at > AWAY_MS:
+            elif now - connection.away_at > AWAY_MS and not connection.unread():
                 connection.close(End.LEFT)
 
     def _pace(self, pace: Pace) -> None:
--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -18,7 +18,7 @@
 WHOLE, PLAIN = re.compile(rb"[0-9]{1,15}"), re.compile(rb"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 LONGEST_KEY = 256
 OPEN_STREAMS = 32  # exchanges that one connection may carry at a time
-ASK, ANSWER, CHECK, CHECKED, AWAY = 10, 11, 20, 21, 30
+ASK, ANSWER, GIVE_UP, CHECK, CHECKED, AWAY = 10, 11, 12, 20, 21, 30
 COMPLETED, DENIED, TERMINATED = 0, 1, 2
 GOOD, BAD = 0, 1
 
@@ -48,6 +48,13 @@
     stream: int
 
 
+@dataclass(slots=True)
+class GivenUp:
+    """Its caller waits for this exchange no longer."""
+
+    stream: int
+
+
 @dataclass(slots=True)
 class Spoiled:
     """An exchange that cannot be read; the frames after it can."""
@@ -56,6 +63,9 @@
     why: str
 
 
+Frame = Ask | GivenUp | Check | Spoiled
+
+
 class Broken(Exception):
     """What came is no frame: nothing more can be read on this connection."""
 
@@ -67,11 +77,12 @@
 class Decoder:
     """Takes whole frames off a ring."""
 
-    def __init__(self, ring: Ring) -> None:
+    def __init__(self, ring: Ring, give_up: bool = False) -> None:
         self.ring = ring
+        self.kinds = (ASK, CHECK, GIVE_UP) if give_up else (ASK, CHECK)
         self.skip = 0  # bytes of a frame too long to be kept that are still to come
 
-    def frames(self) -> Iterator[Ask | Check | Spoiled]:
+    def frames(self) -> Iterator[Frame]:
         """The frames that have come; raises Broken where the bytes are none."""
         ring = self.ring
         if self.skip:
@@ -83,12 +94,12 @@
             while len(raw) - at >= HEAD.size:
                 length, kind, stream = HEAD.unpack_from(raw, at)
                 _length(length)
-                _known(kind, stream)
+                _known(kind, stream, self.kinds)
                 end = at + 4 + length
                 if length > KEPT:
                     # Guards against many connections that each bring the longest frame, for want of memory.
-                    if kind == CHECK:
-                        raise Broken(f"a health check of {length} bytes")
+                    if kind != ASK:
+                        raise Broken(f"a frame of type {kind} of {length} bytes")
                     self.skip = max(0, end - len(raw))
                     at = min(end, len(raw))
                     yield Spoiled(stream, f"a frame of {length} bytes")
@@ -97,7 +108,10 @@
                     return
                 frame = raw[at:end]
                 at = end
-                yield _check(stream, frame) if kind == CHECK else _ask(stream, frame)
+                if kind == GIVE_UP:
+                    yield GivenUp(stream)
+                else:
+                    yield _check(stream, frame) if kind == CHECK else _ask(stream, frame)
             if len(raw) - at >= 4:
                 _length(int.from_bytes(raw[at : at + 4], "little"))
         finally:
@@ -113,8 +127,8 @@
         raise Broken(f"a frame of length {length}")
 
 
-def _known(kind: int, stream: int) -> None:
-    if kind not in (ASK, CHECK):
+def _known(kind: int, stream: int, kinds: tuple[int, ...]) -> None:
+    if kind not in kinds:
         raise Broken(f"a frame of type {kind}")
     if kind == ASK and stream == 0:
         raise Broken("an exchange on stream 0")
--- a/myrtlecrank/port.py
+++ b/myrtlecrank/port.py
@@ -106,6 +106,7 @@
     wait_limit: float = 0.0  # the longest advice to stay away that callers keep; 0: it is not passed on
     tells_left: bool = True
     tells_retry: bool = False
+    tells_gone: bool = False  # callers that give up say so
     below: Below = Below.NONE
     calls_share: float = 0.0
     calls_over: float = 0.0
--- a/myrtlecrank/startfacts.py
+++ b/myrtlecrank/startfacts.py
@@ -137,6 +137,7 @@
         wait_limit=bounds.ms("maxRetryAfter", 0.0) if bounds.flag("retryAfter", False) else 0.0,
         tells_left=domain.flag("passesDeadline", True),
         tells_retry=conf.inner("clients", {}).flag("marksRetry", False),
+        tells_gone=domain.flag("hangupSeen", False),
         below=domain.choice("downstream", BELOW, port.Below.NONE),
         calls_share=domain.number("depShare", 0.0),
         calls_over=domain.ms("depWindow", 0.0),
