A link below that hangs is known by its silence and opened anew

State of n0 each second: from 3.5 s on each call stays out until its exchange is due at 12 s, 18 of 18 rooms for calls are taken, the cores at half; the link's ring is empty, the last reply 20 s old; other backends' calls come back. Lines: `BelowLink.look` dropped a link once a call on it was overdue, but the module gives a call up with its exchange, `_write` takes it off `out` then, and that is no later than its time-out: it never was overdue. Excluded: replies in order, so that one would block the rest (69 of 210 came out of order); a leak of rooms in the module. Change: with calls out, silence for twice the longest call of late, at least half the shortest SLO time, ends the link. The test over loopback fails without.

--- a/myrtlecrank/below/link.py
+++ b/myrtlecrank/below/link.py
@@ -20,6 +20,8 @@
 PAUSE_S = 0.02  # between tries to connect
 UNSENT_MS = 1000.0  # the longest that a call waits for a link before it counts as never having left
 OVERDUE_MS, OVERDUE_BEATS = 200.0, 10  # past its time a call is looked for on so many beats
+BEAT_MS = 100.0
+SILENT_CALLS, FADES = 2.0, 0.95  # longest calls that a link may be silent for; how they fade
 FIRST_READ = 4096
 
 
@@ -28,8 +30,8 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.out: dict[str, float] = {}  # when each is over at the latest
-        self.late_beats = 0
+        self.out: dict[str, tuple[float, float]] = {}  # when each went out, and is over at the latest
+        self.late_beats = self.quiet_beats = 0  # since a call is overdue; since a word came, with calls out
         self.dropped: End | None = None
 
     def drop(self, end: End) -> None:
@@ -39,8 +41,10 @@
 
 
 class BelowLink:
-    def __init__(self, address: tuple[str, int], tell: Callable[[Event], None]) -> None:
-        self.address, self.tell = address, tell
+    def __init__(self, address: tuple[str, int], tell: Callable[[Event], None], patience: float) -> None:
+        """`patience`: ms without a word that are in order, however quick calls have been so far."""
+        self.address, self.tell, self.patience = address, tell, patience
+        self.longest = 0.0  # ms that calls took of late
         self.mailbox: Mailbox[Below] = Mailbox(MAILBOX)
         self.wire: Wire | None = None
         self.wires: dict[Wire, None] = {}  # those left behind, too, while calls are out on them
@@ -66,7 +70,7 @@
         for one in wanted:
             # A call is out before its first byte: once the write has begun nothing proves that it never came.
             if isinstance(one, Call):
-                wire.out[one.ident] = self.now + one.timeout
+                wire.out[one.ident] = self.now, self.now + one.timeout
             elif all(one.ident not in other.out for other in self.wires):
                 continue
             ring.append(lines.command(one))
@@ -116,13 +120,16 @@
             wire.drop(End.LEFT)
 
     def look(self, now: float) -> None:
-        """Guards against a layer that never says how a call ended. Beats on which one was late are counted,
-        and not time: while we stand still nothing can be heard."""
+        """Guards against a layer that never says how a call ended, and a link that hangs: most calls are
+        abandoned when their exchange is due, no later than they are themselves, so a link is known by silence
+        alone. Beats are counted, not time: while we stand still nothing can be heard."""
         self.now = now
         for wire in list(self.wires):
-            late = bool(wire.out) and now > min(wire.out.values()) + OVERDUE_MS
+            late = bool(wire.out) and now > min(until for _, until in wire.out.values()) + OVERDUE_MS
             wire.late_beats = wire.late_beats + 1 if late else 0
-            if wire.late_beats > OVERDUE_BEATS:
+            wire.quiet_beats = wire.quiet_beats + 1 if wire.out else 0
+            quiet = wire.quiet_beats * BEAT_MS > max(self.patience, SILENT_CALLS * self.longest)
+            if quiet or wire.late_beats > OVERDUE_BEATS:
                 wire.drop(End.SILENT)
 
     def _read(self, wire: Wire) -> None:
@@ -147,8 +154,11 @@
                 if count == 0:
                     return End.CLOSED
                 ring.wrote(count)
+                wire.quiet_beats = 0
                 for reply in lines.replies(ring):
-                    if wire.out.pop(reply.ident, None) is not None:
+                    sent, _ = wire.out.pop(reply.ident, (None, 0.0))
+                    if sent is not None:
+                        self.longest = max(self.now - sent, FADES * self.longest)
                         self.tell(CallEnded(reply.ident, reply.outcome, reply.result))
                 if wire is not self.wire and not wire.out:
                     return End.LEFT
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -49,7 +49,9 @@
     link: Link
     roll = Roll(orders.members, orders.name)
     core: Core
-    below = None if orders.records is None else BelowLink(orders.records, lambda e: core.mailbox.post(e))
+    below = None if orders.records is None else BelowLink(
+        orders.records, lambda e: core.mailbox.post(e), 0.5 * min(g.slo for g in orders.facts.groups)
+    )
     core = Core(orders.facts, orders.stop_ms, lambda c: link.mailbox.post(c), roll.tell,
                 repeats=operators.repeats, below=None if below is None else below.mailbox.post)
     link = Link(orders.agent, orders.gauges, core.mailbox.post)
--- a/tests/test_below.py
+++ b/tests/test_below.py
@@ -72,7 +72,7 @@
     def __init__(self) -> None:
         self.letters: Mailbox[Any] = Mailbox(100)
         self.listener, self.address = self.listen()
-        self.link = BelowLink(self.address, self.letters.post)
+        self.link = BelowLink(self.address, self.letters.post, 1000.0)
         self.writer = gevent.spawn(self.link.run)
 
     def listen(self) -> tuple[Any, Any]:
@@ -157,6 +157,37 @@
     assert layer.letters.take() == [CallEnded("bb", Outcome.TIMEOUT, b"")] and not layer.letters
 
 
+def test_a_link_that_goes_silent_is_known_though_each_call_on_it_is_abandoned_in_time(layer: Layer) -> None:
+    """As a hung link is seen by the module: calls are given up with their exchanges, and new ones go out."""
+    now = 0.0
+
+    def beats(count: int) -> None:
+        nonlocal now
+        for _ in range(count):
+            now += 100.0
+            layer.link.look(now)
+
+    layer.link.mailbox.post(Call("a0", 4000.0, b"q"))
+    sock = layer.accept()
+    sock.recv(100)
+    beats(8)
+    sock.sendall(b"a0 DONE 1\r\nr\r\n")
+    assert layer.letters.take() == [CallEnded("a0", Outcome.OK, b"r")]
+    for ident in ("a1", "a2"):
+        layer.link.mailbox.post(Call(ident, 900.0, b"q"))
+        sock.recv(100)
+        beats(7)
+        if ident == "a1":
+            layer.link.mailbox.post(Call("a3", 4000.0, b"q"))
+            layer.link.mailbox.post(Abandon(ident))
+            sock.recv(100)
+    assert layer.link.wire is not None and layer.link.wire.dropped is None
+    beats(3)  # more than twice the 800 ms that a call took
+    assert layer.letters.take() == [CallEnded(i, Outcome.TIMEOUT, b"") for i in ("a3", "a2")]
+    layer.link.mailbox.post(Call("a4", 900.0, b"q"))
+    assert layer.accept().recv(100).startswith(b"OP a4")
+
+
 class Calls(Play):
     """The module's actor on a site with a layer below."""
 
