Races of leaving, the list, the clock and the last answers, each forced by a test

Found, with the lines: - Notice before the greeting: `Core._greeted` counted the grace from the greeting, so what came later than the grace after the notice could run; and the new controller told good health after the notice. - `Core.turn` ran on the system's clock held back from stepping: set back by an hour it stood still for that hour, and nothing was answered in time. The process has a clock of its own now; stamps are read by the one they come from. - The end of the process took answers with it that lay in a caller's mailbox, and its close with bytes unread resets what is on its way. - A second answer of the list, lying on a kept connection, counted for the next report; one that came in pieces spoilt the good first one. - `nan`, infinite and negative figures of the agent went into means and gauges for good. Measured: 10 tests fail on the code before and pass now.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -64,10 +64,19 @@
 Do = Callable[[], object]
 
 
+BEGAN = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+
 def unix_ms() -> float:
+    """What the system's clock says: only for stamps of callers."""
     return time.time() * 1000.0
 
 
+def now_ms() -> float:
+    """Unix time of this process: it never steps. Guards due times against a system clock that is set."""
+    return BEGAN + time.monotonic() * 1000.0
+
+
 class Entry:
     """One exchange in the table, from its arrival until nothing can ask for it any more."""
 
@@ -110,7 +119,7 @@
         self.command, self.tell_health, self.below = command, tell_health, below
         self.on_beat: list[Callable[[float], None]] = []
         self.on_shut: list[Callable[[], None]] = []
-        self.now = unix_ms() if now is None else now
+        self.now = now_ms() if now is None else now
         self.controller: Controller | None = None
         self.repeats: Repeats | None = None
         self.report = Report()
@@ -130,6 +139,7 @@
         self.doubted: dict[Entry, None] = {}  # those whose launch never left or may be lost
         self.alarm = ("", 0.0)
         self.alarm_due = 0.0
+        self.noticed = 0.0
         self.stop_at: float | None = None
         self.timer, self.timer_due = get_hub().loop.timer(0.0), 0.0
         self._adopt(repeats)
@@ -138,7 +148,7 @@
     def run(self) -> None:
         while True:
             self._wind()
-            self.turn(self.mailbox.take(most=TURN), unix_ms())
+            self.turn(self.mailbox.take(most=TURN), now_ms())
             if self.mailbox:
                 gevent.sleep(0)
 
@@ -147,7 +157,7 @@
         due = self.timers[0][0] if self.timers else self.timer_due
         if due != self.timer_due:
             self.timer.close()
-            self.timer_due, self.timer = due, get_hub().loop.timer(max(0.0, due - unix_ms()) / 1000.0)
+            self.timer_due, self.timer = due, get_hub().loop.timer(max(0.0, due - now_ms()) / 1000.0)
             self.timer.start(self._ring)
 
     def _ring(self) -> None:
@@ -156,7 +166,7 @@
 
     def turn(self, letters: list[Event], now: float) -> None:
         """One batch: the letters, what is due, then what the module makes of it."""
-        self.now = max(self.now, now)  # the system's clock may step back, the module's never does
+        self.now = max(self.now, now)  # the module's clock never steps back
         for letter in letters:
             self._read(letter)
         while self.timers and self.timers[0][0] <= self.now:
@@ -206,7 +216,8 @@
         logger.info("the machine is up for {:.0f} ms, {}", up, "cold" if cold else "warm")
         self.controller = Controller(self.facts, self._do, self.now - up)
         if self.stop_at is not None:
-            self.controller.leave(self.stop_at - self.now, self.now)
+            # The grace counts from the notice, however late the machine is.
+            self.controller.leave(self.stop_ms, self.noticed)
 
     def _parted(self, lost: Outcome) -> None:
         """What went out after the last sample that came back may be lost with the link."""
@@ -242,7 +253,7 @@
         if self.stop_at is not None:
             return
         logger.info("notice to leave, {} exchanges in hand", self.unanswered)
-        self.stop_at = self.now + self.stop_ms
+        self.noticed, self.stop_at = self.now, self.now + self.stop_ms
         self._at(self.stop_at - LAST_MS, self._beat_rivals)
         if self.controller is not None:
             self._at(self.controller.leave(self.stop_ms, self.now), self._shut)
@@ -425,6 +436,7 @@
             case port.Publish(value):
                 self.board.value = value
             case port.Health(on, _):
+                on = on and self.stop_at is None  # a machine that comes up after the notice is well in vain
                 if on != self.board.well:
                     logger.info("health is {}", "good" if on else "bad")
                 self.board.well = on
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from myrtlecrank.core.actor import unix_ms
 from myrtlecrank.core.board import Board
 from myrtlecrank.core.letters import Answer, Arrived, Ticket, Verdict
 from myrtlecrank.core.mailbox import Mailbox
@@ -39,16 +40,24 @@
 
     def run(self) -> None:
         """Until None comes: then it has no connection any more."""
-        while True:
-            touched: dict[Connection, None] = {}
-            for answer in self.mailbox.take():
-                if answer is None:
-                    return
+        while self._deliver(self.mailbox.take()):
+            pass
+
+    def last_words(self) -> None:
+        """Before the process ends: what lies here would otherwise end with it."""
+        if self.mailbox:
+            self._deliver(self.mailbox.take())
+
+    def _deliver(self, answers: list[Answer | None]) -> bool:
+        touched: dict[Connection, None] = {}
+        for answer in answers:
+            if answer is not None:
                 connection, stream = answer.ticket.place
                 connection.answered(stream, self.frame(stream, answer))
                 touched[connection] = None
-            for connection in touched:
-                connection.flush()
+        for connection in touched:
+            connection.flush()
+        return None not in answers
 
     def frame(self, stream: int, answer: Answer) -> bytes:
         code, value = CODES[answer.verdict], self.board.value
@@ -69,14 +78,15 @@
             # Guards against a second run: no repeat of it could be known.
             connection.spoiled(ask.stream, "no key by which repeats are known")
             return
-        if ask.reached > connection.last_used + AHEAD_MS or (ask.wait or 0.0) > WAITS * deadline:
+        ago = unix_ms() - ask.reached  # by the clock that the stamp came from
+        if ago < -AHEAD_MS or (ask.wait or 0.0) > WAITS * deadline:
             connection.spoiled(ask.stream, "times that cannot be")
             return
         ticket = connection.open[ask.stream] = Ticket(
             ident=ask.ident,
             group=group,
             tenant=tenant,
-            reached=ask.reached,
+            reached=connection.last_used - ago,
             wait=ask.wait if self.tells_left else None,
             kb=ask.kb,
             rank=ask.rank,
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 
 import gevent
 from gevent import socket
@@ -112,6 +113,14 @@
         except OSError:
             pass
 
+    def take_off(self) -> None:
+        """Takes what lies unread off the system's buffer, without waiting, however much still comes."""
+        with suppress(OSError):
+            self.sock.settimeout(0.0)
+            for _ in range(SHARE):
+                if not self.sock.recv(LINGER_BYTES):
+                    return
+
     def unread(self) -> bool:
         """Whether something lies in the system's buffer: what was never read cannot be called idle."""
         try:
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -10,7 +10,7 @@
 from gevent import socket
 from loguru import logger
 
-from myrtlecrank.core.actor import Core, unix_ms
+from myrtlecrank.core.actor import Core, now_ms
 from myrtlecrank.core.ends import End
 from myrtlecrank.core.letters import CallersLeft, Ticket
 from myrtlecrank.edge.caller import Caller
@@ -50,7 +50,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.swept = unix_ms()
+        self.swept = now_ms()
         self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
         self.pace: Pace | None = None
         self.adopt(accepting)
@@ -59,7 +59,7 @@
 
     def adopt(self, accepting: Accepting | None) -> None:
         """The operators set the pace anew; None: connections are accepted as they come."""
-        self.pace = None if accepting is None else Pace(accepting, unix_ms())
+        self.pace = None if accepting is None else Pace(accepting, now_ms())
 
     def run(self) -> None:
         """Accepts until the notice to leave."""
@@ -74,7 +74,7 @@
                 if len(self.connections) >= self.most and not self.make_room():
                     gevent.sleep(FULL_S)
                     continue
-                wait = 0.0 if self.pace is None else self.pace.wait(self.board.warmth, unix_ms())
+                wait = 0.0 if self.pace is None else self.pace.wait(self.board.warmth, now_ms())
                 if wait > 0.0:
                     gevent.sleep(wait / 1000.0)
                     continue
@@ -105,7 +105,7 @@
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(sock, self.board, self.asked, self.give_up)
-        connection.last_used = unix_ms()
+        connection.last_used = now_ms()
         self.connections[connection] = None
         gevent.spawn(self._serve, connection)
         return connection
@@ -124,7 +124,7 @@
         if isinstance(ask, codec.GivenUp):
             self.given_up(connection, ask.stream)
             return
-        connection.last_used = unix_ms()
+        connection.last_used = now_ms()
         del self.connections[connection]
         self.connections[connection] = None
         if connection.caller is None:
@@ -184,6 +184,15 @@
             logger.info("connections come faster than they are accepted: {} a second at the most",
                         round(pace.per_second(self.board.warmth)))
 
+    def last_words(self) -> None:
+        """The process ends: the last answers go out, and no byte that lies unread turns its end into a reset
+        that destroys them."""
+        for caller in list(self.callers.values()):
+            caller.last_words()
+        for connection in list(self.connections):
+            connection.flush()
+            connection.take_off()
+
     def shut(self) -> None:
         """No new connection, and no new exchange on those that stand. What the machine has accepted already
         is ours: it is taken off the listener before that closes, lest it be reset."""
@@ -195,6 +204,6 @@
                 self.accept(self.listener.accept()[0])
         except OSError:
             self.listener.close()
-        now = unix_ms()
+        now = now_ms()
         for connection in self.connections:
             connection.tell_away(now)
--- a/myrtlecrank/farm/lines.py
+++ b/myrtlecrank/farm/lines.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from math import isfinite
 
 from myrtlecrank.core.letters import Command, Deliver, Forgo, Freeze, Launch, Sample
 from myrtlecrank.frames.ring import Ring
@@ -111,13 +112,13 @@
     try:
         match words:
             case ["outcome", number, ident, end, took, *_]:
-                return Ended(int(number), ident, ENDS[end], float(took), result)
+                return Ended(int(number), ident, ENDS[end], _figure(took), result)
             case ["request", number, ident, _]:
                 return Needs(int(number), ident, result)
             case ["sampled", tag, *values]:
-                return Gauged(tag, [float(value) for value in values])
+                return Gauged(tag, [_figure(value) for value in values])
             case ["greeting", state, up]:
-                return Greeting(STATES[state], float(up))
+                return Greeting(STATES[state], _figure(up))
             case ["refusal", command, ident, *_]:
                 return Refused(command, ident)
             case ["aside", number, *_]:
@@ -127,6 +128,14 @@
     return Unknown(line.decode("utf-8", "replace"))
 
 
+def _figure(word: str) -> float:
+    """Guards means and gauges, which a `nan` would spoil for good."""
+    value = float(word)
+    if not isfinite(value) or value < 0.0:
+        raise ValueError(word)
+    return value
+
+
 def subscribe(read: int) -> bytes:
     return b"subscribe %d\r\n" % read
 
--- a/myrtlecrank/roll/actor.py
+++ b/myrtlecrank/roll/actor.py
@@ -22,11 +22,12 @@
     """Takes in one answer."""
 
     def __init__(self) -> None:
-        self.whole = False
+        self.whole, self.status = False, 0
         self.parser = httptools.HttpResponseParser(self)
 
     def on_message_complete(self) -> None:
-        self.whole = True
+        if not self.whole:  # what follows the first belongs to no report
+            self.whole, self.status = True, self.parser.get_status_code()
 
 
 class Roll:
@@ -94,6 +95,9 @@
         reply = _Reply()
         try:
             sock = self.sock
+            if sock is not None and self._stale(sock):
+                self._close()
+                sock = None
             if sock is None:
                 sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 sock.connect(self.address)
@@ -112,7 +116,7 @@
                 reply.parser.feed_data(incoming.take(count))
             if not reply.parser.should_keep_alive():
                 self._close()
-            return None if reply.parser.get_status_code() == 204 else End.BROKEN
+            return None if reply.status == 204 else End.BROKEN
         except OSError as error:
             self._close()
             return of_error(error)
@@ -120,6 +124,18 @@
             self._close()
             return End.BROKEN
 
+    def _stale(self, sock: socket.socket) -> bool:
+        """Guards against an answer to an earlier report that comes late: it would count for the next. The end
+        of an idle connection is seen here as well."""
+        sock.settimeout(0.0)
+        try:
+            sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        finally:
+            sock.settimeout(None)
+        return True
+
     def _close(self) -> None:
         if self.sock is not None:
             self.sock.close()
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -12,7 +12,7 @@
 
 from myrtlecrank import log
 from myrtlecrank.below.link import BelowLink
-from myrtlecrank.core.actor import Core, unix_ms
+from myrtlecrank.core.actor import Core, now_ms
 from myrtlecrank.core.letters import Adopt, Leave
 from myrtlecrank.edge.front import Front
 from myrtlecrank.farm.link import Link
@@ -78,10 +78,11 @@
 
     def watch_leaving() -> None:
         core_shut.wait()
-        while unix_ms() < (core.stop_at or 0.0) - LAST_MS:
+        while now_ms() < (core.stop_at or 0.0) - LAST_MS:
             if not core.unanswered and not front.connections and roll.told is False:
                 break
             gevent.sleep(LOOK_S)
+        front.last_words()
         logger.info("leaves with {} exchanges, {} connections", core.unanswered, len(front.connections))
         over.set()
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -291,6 +291,17 @@
     assert play.core.unanswered == 0
 
 
+def test_a_machine_that_comes_up_after_the_notice_gets_no_longer_grace_and_no_good_health() -> None:
+    play = Play(greeted=False)
+    play.turn(0.0, Leave())
+    play.turn(900.0, Greeted(True, 10.0))
+    play.ask("in", 905.0, reached=700.0)
+    play.ask("late", 1500.0, reached=1500.0)
+    assert [c.ident for c in play.commands(Launch)] == ["in"] and not any(play.health)
+    assert [(a.ticket.ident, a.verdict) for a in play.answers] == [("late", Verdict.DENIED)]
+    assert play.core.stop_at == 3200.0 and not play.core.board.well
+
+
 def test_reads_of_the_same_share_a_result_while_it_is_fresh() -> None:
     play = Play(share_for=1000.0)
     play.ask("aa", 0.0, about="stop 7")
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -11,6 +12,7 @@
 from gevent import socket
 from helpers import Play, ask_bytes, group
 
+from myrtlecrank.core.actor import now_ms
 from myrtlecrank.core.ends import End
 from myrtlecrank.core.letters import Answer, Arrived, CallersLeft, Leave, Verdict
 from myrtlecrank.edge.front import SPARE_SOCKETS, Front
@@ -480,6 +482,54 @@
     assert [said[-13:] for said in heard[:2]] == [b'"phase":"UP"}', b'phase":"OUT"}']
 
 
+def test_an_answer_to_an_earlier_report_counts_for_no_later_one() -> None:
+    """A second answer lies on the connection before the next report is written."""
+    good = b"HTTP/1.1 204 No Content\r\n\r\n"
+    with gevent.Timeout(3 * WAIT_S), socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        roll = Roll(listener.getsockname(), "n3")
+        report = gevent.spawn(roll.report, True)
+        old = listener.accept()[0]
+        old.recv(4096)
+        old.sendall(good + good[:9])
+        assert report.get() is True
+        old.sendall(good[9:])
+        while roll.sock is not None and not roll.sock.recv(1, socket.MSG_PEEK):
+            pass
+        report = gevent.spawn(roll.report, False)
+        new = listener.accept()[0]
+        assert new.recv(4096).endswith(b'"OUT"}') and roll.told is True
+        new.sendall(good)
+        assert report.get() is True and roll.told is False
+
+
+def test_what_still_lies_with_a_caller_goes_out_before_the_process_ends(door: Door) -> None:
+    """The end comes after the answer was posted and before its actor had a turn; more lies unread."""
+    caller, _ = at_a_socket(door)
+    caller.sendall(ask_bytes(1))
+    (ticket,) = door.tickets(1)
+    caller.sendall(ask_bytes(2))
+    ticket.answer(Answer(ticket, Verdict.COMPLETED, b"r"))
+    door.front.last_words()
+    for connection in door.front.connections:
+        connection.sock.close()
+    assert read(caller) == (codec.ANSWER, 1, b"\0\0r") and read(caller) == (0, 0, b"")
+
+
+@pytest.mark.parametrize("step", [-3600.0, 3600.0])
+def test_a_system_clock_that_is_set_moves_no_due_time(
+    door: Door, monkeypatch: pytest.MonkeyPatch, step: float
+) -> None:
+    before, usual = now_ms(), time.time
+    monkeypatch.setattr("time.time", lambda: usual() + step)
+    assert abs(now_ms() - before) < 5000.0
+    _, sock = door.open()
+    sock.sendall(ask_bytes(1, s=str(int(time.time() * 1000.0) - 200)))
+    (ticket,) = door.tickets(1)
+    assert 199.0 <= now_ms() - ticket.reached < 5000.0
+
+
 def test_reports_repeat_on_the_beat_once_due_and_never_pile_up() -> None:
     roll = Roll(("127.0.0.1", 1), "n3")
     roll.beat(0.0)
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -62,6 +62,14 @@
         heard(raw)
 
 
+@pytest.mark.parametrize("raw", [
+    b"sampled b1 nan 3 0.2 1", b"sampled b1 0.5 inf 0.2 1", b"sampled b1 -1 3 0.2 1", b"greeting LOADED nan",
+    b"outcome 1 aa PASS nan 0\r\n",
+])
+def test_figures_that_are_none_are_not_taken_in(raw: bytes) -> None:
+    assert heard(raw + b"\r\n") == []
+
+
 def test_commands() -> None:
     assert lines.command(Launch("aa", "group", b"x\r\n")) == b"launch aa group 3\r\nx\r\n\r\n"
     assert lines.command(Freeze("aa")) + lines.command(Sample("b1")) == b"freeze aa\r\nsample b1\r\n"
