--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -93,7 +93,8 @@
         that health checks and exchanges still find a place; where none is idle, one that never brought a
         whole frame. A caller whose first frame is cut off by that knows that nothing of it ran."""
         quiet = [c for c in self.connections if not (c.open or c.flushing)]
-        gone = next((c for c in quiet if not c.decoder.halfway() and not c.unread()), None)
+        gone = next((c for c in quiet if c.over is not None), None)  # only taken off by now: nothing is lost
+        gone = gone or next((c for c in quiet if not c.decoder.halfway() and not c.unread()), None)
         gone = gone or next((c for c in quiet if not c.frames), None)
         if gone is not None:
             gone.close(End.LEFT)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -551,6 +551,18 @@
     assert roll.away
 
 
+def test_one_that_brought_a_bad_frame_makes_room_before_any_idle_one(door: Door) -> None:
+    caller, bad = at_a_socket(door)
+    _, idle = at_a_socket(door)
+    idle.frames, bad.last_used = 1, idle.last_used + 1.0
+    door.front.connections[bad] = door.front.connections.pop(bad)
+    caller.sendall(b"\0\0\0\0")
+    assert read(caller)[:2] == (codec.ANSWER, 0)
+    while bad.over is None:
+        gevent.sleep(0)
+    assert door.front.make_room() and idle.end is None and bad.end is not None
+
+
 def test_what_still_comes_off_a_connection_that_made_room_is_passed_over() -> None:
     door = Door(sockets=SPARE_SOCKETS + 1)
     connection, sock = door.open()
