An agent that is started again under a running backend is known by its time

`Link._new` drops what is numbered up to the last notice read, and another start numbers from 1: no end of a run would ever have been read again, and the backend gone bad for good. What ran on the agent before stayed "running" until due, and the module went on loading cold cores as warm ones (`born` was set once). Excluded as a sign: the state EMPTY, which a link that is only opened again tells too. Measured: two tests; without `_began_anew` in link and actor both fail.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -189,8 +189,8 @@
             case CallersLeft(tickets):
                 for ticket in tickets:
                     self._caller_left(ticket)
-            case Greeted(cold, up):
-                self._greeted(cold, up)
+            case Greeted(cold, up, anew):
+                self._greeted(cold, up, anew)
             case Parted(end):
                 # Even where no way to the agent is left, what was written to a link that stood may have run.
                 self._parted(Outcome.RESET if end is End.UNREACHED else OUTCOMES[end])
@@ -206,9 +206,11 @@
 
     # Start, drain, the agent's link
 
-    def _greeted(self, cold: bool, up: float) -> None:
+    def _greeted(self, cold: bool, up: float, anew: bool) -> None:
         self.linked = True
         if self.controller is not None:
+            if anew:
+                self._began_anew(self.controller, cold, up)
             # The notices that were missed come first; what they leave in doubt is settled after them.
             self.missed = self._sample("m")
             return
@@ -219,6 +221,14 @@
             # The grace counts from the notice, however late the machine is.
             self.controller.leave(self.stop_ms, self.noticed)
 
+    def _began_anew(self, controller: Controller, cold: bool, up: float) -> None:
+        """The agent alone was started again: no end of what it ran will ever be told, and it may be cold."""
+        logger.warning("the machine has begun anew, {}", "cold" if cold else "warm")
+        controller.machine_began(cold, self.now - up)
+        for entry in list(self.table.values()):
+            if entry.running and entry.doubt is not Outcome.UNREACHED:
+                self._run_ended(entry.ticket.ident, Outcome.CANCELLED, 0.0, b"", genuine=True)
+
     def _parted(self, lost: Outcome) -> None:
         """What went out after the last sample that came back may be lost with the link."""
         self.linked, self.missed = False, None
--- a/myrtlecrank/core/letters.py
+++ b/myrtlecrank/core/letters.py
@@ -68,6 +68,7 @@
 
     cold: bool
     up: float
+    anew: bool = False  # it is another start than that of the link before: what ran then is gone
 
 
 @dataclass(slots=True)
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 import gevent
@@ -29,6 +30,7 @@
 FIRST_PAUSE, LONGEST_PAUSE = 0.02, 0.25  # seconds between tries to connect
 CONNECT_S = 2.0
 SILENT_BEATS = 15  # once greeted the agent is asked on every beat (100 ms), so it is never silent for long
+ANEW_MS = 1000.0  # that an agent's time is short of what it should be, at the least, if it began anew
 MAILBOX = 4096
 FIRST_READ = 4096  # bytes asked for at a time, more where more comes
 
@@ -43,6 +45,8 @@
         self.heard, self.quiet = False, 0  # since the last beat; beats on which nothing had come
         self.sock: socket.socket | None = None
         self.dropped: End | None = None
+        self.began: tuple[float, float] | None = None  # how long the agent was up, and when it said so
+        self.anew = False  # it has begun anew since the last greeting that was told
         self.moved = Flag()  # the address is another than the one tried last
 
     def run(self) -> None:
@@ -132,15 +136,31 @@
             self.heard = True
             for notice in lines.notices(ring):
                 if isinstance(notice, lines.Greeting) and not self.greeted:
+                    if self._began_anew(notice.up, time.monotonic() * 1000.0):
+                        # Its notices are numbered from 1 again, which what was read before would hide.
+                        self.read, self.anew = 0, True
+                        return End.LEFT
                     self.greeted = self.known_up = True
                 self.notice(notice)
             if full:
                 gevent.sleep(0)  # after a break thousands may come at once: the others get their turn
 
+    def _began_anew(self, up: float, now: float) -> bool:
+        """Whether the agent is up for far less than it should be by what it said before; a greeting that was
+        read late is no new start."""
+        missing = 0.0
+        if self.began is not None:
+            passed = now - self.began[1]
+            missing = self.began[0] + passed - up
+            missing = missing if missing > 0.5 * passed else 0.0
+        self.began = up, now
+        return missing > ANEW_MS
+
     def notice(self, notice: lines.Notice) -> None:
         match notice:
             case lines.Greeting(cold, up):
-                self.tell(Greeted(cold, up))
+                self.tell(Greeted(cold, up, self.anew))
+                self.anew = False
             case lines.Ended(number, ident, outcome, took, result):
                 if self._new(number):
                     self.tell(RunEnded(ident, outcome, took, result))
--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -116,7 +116,7 @@
 
 class Controller:
     def __init__(self, facts: port.StartFacts, do: port.Do, now: float) -> None:
-        self.do, self.now, self.born = do, now, now
+        self.do, self.now = do, now
         self.chance = random.Random(facts.seed).random
         self.groups = [Group(g) for g in facts.groups]
         self.shortest_slo = min(g.slo for g in self.groups)
@@ -127,8 +127,8 @@
         self.cores, self.memory_kb, self.run_weight = facts.cores, facts.memory_kb, facts.run_weight
         self.key_kb, self.share_for, self.grace = facts.key_kb, facts.share_for, facts.drain_grace
         self.crowd_warm = 1.0 + (facts.crowd_per_core - 1.0) * CROWD_USED
-        self.cold_from = facts.cold_from if facts.cold else 1.0
-        self.warm_within = facts.warm_within
+        self.coldest, self.warm_within = facts.cold_from, facts.warm_within
+        self.machine_began(facts.cold, now)
         self.margin = BEAT + 2.0 * facts.tick  # an answer is given this long before it is due
         self.can_halt = facts.halting is not Halting.NONE
         self.meaning, self.wait_limit = facts.meaning, facts.wait_limit
@@ -396,6 +396,10 @@
             self.held -= 1
         self._step(c, word)
 
+    def machine_began(self, cold: bool, born: float) -> None:
+        """Also under a backend that goes on: its cores are cold again, and survive what cold ones do."""
+        self.cold_from, self.born = self.coldest if cold else 1.0, born
+
     def warmth(self) -> float:
         if self.cold_from >= 1.0:
             return 1.0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -302,6 +302,25 @@
     assert play.core.stop_at == 3200.0 and not play.core.board.well
 
 
+def test_what_ran_on_a_machine_that_began_anew_is_answered_at_once_and_cold_cores_are_spared() -> None:
+    play = Play(group(), group(kind=Kind.DEDUPLICATED))
+    play.ask("aa", 0.0)
+    play.ask("bb", 0.0, group=1, about="k")
+    play.turn(100.0)
+    play.turn(101.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    play.turn(200.0, Parted(End.RESET))
+    play.ask("cc", 210.0)
+    play.turn(300.0, Greeted(True, 20.0, anew=True))
+    assert {a.ticket.ident for a in play.answers} == {"aa", "bb"}
+    play.turn(301.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
+    play.ask("dd", 310.0, group=1, about="k")
+    play.turn(311.0)
+    # cc never left, so it runs now; bb may have had its effect, so its repeat does not run.
+    assert [c.ident for c in play.commands(Launch)] == ["aa", "bb", "cc"] and "dd" not in play.core.table
+    controller = play.core.controller
+    assert controller and controller.born == 280.0 and controller.warmth() < 0.25
+
+
 def test_reads_of_the_same_share_a_result_while_it_is_fresh() -> None:
     play = Play(share_for=1000.0)
     play.ask("aa", 0.0, about="stop 7")
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -83,6 +83,42 @@
         sock.sendall(greet)
 
 
+def test_an_agent_that_was_started_again_is_read_from_its_first_notice_on(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    links: list[Any] = []
+    letters: Mailbox[Any] = Mailbox(100)
+    clock = [50_000.0]
+    monkeypatch.setattr("myrtlecrank.farm.link.time.monotonic", lambda: clock[0])
+    greetings = iter([b"9000", b"12000", b"1500", b"1510"])
+
+    def speak(listener: Any) -> None:
+        while True:
+            sock, _ = listener.accept()
+            links.append((sock, sock.recv(100)))
+            sock.sendall(b"greeting EMPTY %b\r\n" % next(greetings))
+
+    with gevent.Timeout(30), socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        link = Link(listener.getsockname(), [], letters.post)
+        actors = [gevent.spawn(speak, listener), gevent.spawn(link.run)]
+        assert letters.take() == [Greeted(True, 9000.0)]
+        links[0][0].sendall(b"aside 7 hello\r\n")
+        while link.read != 7:
+            gevent.sleep(0)
+        clock[0] += 3.9  # the next greeting is read 0.9 s late, which is no new start
+        links[0][0].close()
+        assert letters.take() == [Parted(End.CLOSED)] and letters.take() == [Greeted(True, 12_000.0)]
+        clock[0] += 2.0
+        links[1][0].close()
+        assert letters.take() == [Parted(End.CLOSED)] and letters.take() == [Greeted(True, 1510.0, anew=True)]
+        assert [said for _, said in links] == [b"subscribe %d\r\n" % n for n in (0, 7, 7, 0)]
+        links[3][0].sendall(b"outcome 1 aa FAIL 1 0\r\n\r\n")
+        assert letters.take() == [RunEnded("aa", Outcome.ERROR, 1.0, b"")]
+        gevent.killall(actors)
+
+
 @pytest.mark.parametrize("hangs", [False, True])
 def test_a_link_that_ends_or_hangs_is_opened_again_from_the_last_notice(
     hangs: bool
