The end of a run at its call is no longer taken for the end of the call

A caller that is gone has its run killed at the call that is out; `Controller.finished` resumed the exchange with that outcome, `_call_below` read it as the call's, and a repeatable exchange asked for another call, parked though gone. Excluded: the doubts of links (the agent's link stood), names used again (another id). Same lines: stopped at a call by none of ours it was set to HELD before `_over`, so its room for calls was booked for good and it stayed parked; MOOT under a mutating call was asked again. Change: `finished` first takes the exchange off its call, then ends it or lets it be answered (15 lines).

--- a/myrtlecrank/logic.py
+++ b/myrtlecrank/logic.py
@@ -39,6 +39,7 @@
 
 
 Place = Enum("Place", "HELD RUNNING AT_CALL CALLING JOINED OVER")
+CALLS = (Place.AT_CALL, Place.CALLING)
 # What an exchange waits for without asking for an operation
 Pause = Enum("Pause", "HOLD CALL_ROOM END")
 
@@ -52,6 +53,7 @@
     LATE = 3  # its time is up, or an answer could no longer be of use
     SHED = 4  # turned away for another, or for want of memory
     STOP = 5  # the process is about to be stopped
+    ENDED = 6  # its run was stopped by none of ours, while it stood at a call
 
 
 AWAITED = (port.Start, port.Call, port.Skip, port.Join)
@@ -263,11 +265,15 @@
         elif isinstance(want, port.Skip):
             c.place = Place.RUNNING
 
-    def _over(self, c: Course) -> None:
+    def _leave_call(self, c: Course) -> None:
         if c.place is Place.CALLING:
             self._push(self.now + self.call_lingers, -1)
-        elif c.place is Place.AT_CALL and c in self.parked:
+        elif c in self.parked:
             self.parked.remove(c)
+
+    def _over(self, c: Course) -> None:
+        if c.place in CALLS:
+            self._leave_call(c)
         self.running.pop(c, None)
         self.joined.pop(c, None)
         self._weigh(c, 0.0)
@@ -445,12 +451,19 @@
             self._learn_run(c, took)
         if outcome is Outcome.MOOT:
             self._unkept(c)
+        word: Outcome | Word = outcome
+        if c.place in CALLS:
+            # Guards against taking the end of a run for that of its call, which may be made once more.
+            self._leave_call(c)
+            c.place, word = Place.RUNNING, Word.ENDED
+            if c.answered or outcome is not Outcome.CANCELLED:
+                c.steps = None
         if outcome is Outcome.CANCELLED and not c.answered:
             c.place = Place.HELD  # stopped by none of ours: the answer is still owed
         else:
             self._over(c)
         self.running.pop(c, None)
-        self._step(c, outcome)
+        self._step(c, word)
 
     def _learn_run(self, c: Course, took: float) -> None:
         g = c.group
