Idle connections: answers on their way, halves of exchanges and crowds at the end of the listener

Now one pair of questions, busy() and silent(), for both. - tell_away wrote to a connection that was seen off after a bad frame. Its side was shut, the write failed, and the failure closed it over unread bytes: a reset over the answers on their way. They are closed there and then.

--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -121,12 +121,17 @@
                 if not self.sock.recv(LINGER_BYTES):
                     return
 
-    def unread(self) -> bool:
-        """Whether something lies in the system's buffer: what was never read cannot be called idle."""
+    def busy(self) -> bool:
+        """Whether an answer is owed here, or is still on its way out."""
+        return bool(self.open or self.outgoing or self.flushing)
+
+    def silent(self) -> bool:
+        """Whether nothing has come that no frame was made of: neither half a frame nor anything that lies in
+        the system's buffer. What was never read cannot be called idle."""
         try:
-            return bool(self._glance())
+            return not (self.decoder.halfway() or self._glance())
         except OSError:
-            return False
+            return True
 
     def _glance(self) -> bytes:
         """The next byte, if it is there, which stays; raises like any read that does not wait."""
@@ -183,7 +188,9 @@
                 self.drained.set()
 
     def tell_away(self, now: float) -> None:
-        if self.away_at is None and self.end is None:
+        # Guards the answers of one that is being seen off: it may not be written to any more, and to end it
+        # for that would destroy them. Nothing new is taken from it anyway.
+        if self.away_at is None and self.end is None and self.over is None:
             self.away_at = now
             self.send(codec.away())
 
--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -92,9 +92,9 @@
         """Guards against floods of connections that bring nothing: the one that was idle longest goes, so
         that health checks and exchanges still find a place; where none is idle, one that never brought a
         whole frame. A caller whose first frame is cut off by that knows that nothing of it ran."""
-        quiet = [c for c in self.connections if not (c.open or c.flushing)]
+        quiet = [c for c in self.connections if not c.busy()]
         gone = next((c for c in quiet if c.over is not None), None)  # only taken off by now: nothing is lost
-        gone = gone or next((c for c in quiet if not c.decoder.halfway() and not c.unread()), None)
+        gone = gone or next((c for c in quiet if c.silent()), None)
         gone = gone or next((c for c in quiet if not c.frames), None)
         if gone is not None:
             gone.close(End.LEFT)
@@ -171,11 +171,11 @@
         for connection in list(self.connections):
             connection.look(passed)
             idle = now - connection.last_used
-            if self.board.idle <= 0 or idle <= self.board.idle or connection.open:
+            if self.board.idle <= 0 or idle <= self.board.idle or connection.busy():
                 continue
             if connection.away_at is None:
                 connection.tell_away(now)
-            elif now - connection.away_at > AWAY_MS and not connection.unread():
+            elif now - connection.away_at > AWAY_MS and connection.silent():
                 connection.close(End.LEFT)
 
     def _pace(self, pace: Pace) -> None:
@@ -187,12 +187,14 @@
 
     def last_words(self) -> None:
         """The process ends: the last answers go out, and no byte that lies unread turns its end into a reset
-        that destroys them."""
+        that destroys them. Each connection ends here and now: the process takes longer to end, and what is
+        written until then would find a connection that stands and nobody who reads it."""
         for caller in list(self.callers.values()):
             caller.last_words()
         for connection in list(self.connections):
             connection.flush()
             connection.take_off()
+            connection.close(End.LEFT)
 
     def shut(self) -> None:
         """No new connection, and no new exchange on those that stand. What the machine has accepted already
@@ -200,11 +202,35 @@
         if self.accepting is not None:
             self.accepting.kill(block=False)
         self.listener.settimeout(0.0)
-        try:
-            while True:
-                self.accept(self.listener.accept()[0])
-        except OSError:
-            self.listener.close()
+        if not self._take_rest():
+            self.spawn(self._take_rest_in_turn)
         now = now_ms()
         for connection in self.connections:
             connection.tell_away(now)
+
+    def _take_rest(self) -> bool:
+        """As many as there are descriptors for. Whether these were all; the listener is closed then."""
+        while len(self.connections) < self.most:
+            try:
+                self.accept(self.listener.accept()[0])
+            except ConnectionAbortedError:
+                continue  # this one is gone; those behind it are not
+            except OSError:
+                self.listener.close()
+                return True
+        return False
+
+    def _take_rest_in_turn(self) -> None:
+        """Guards the limit of descriptors against a crowd that waits at the listener when it is to close: the
+        others come in as those before them go, each at once told to bring no more."""
+        while True:
+            if len(self.connections) >= self.most:
+                # Closed ones hold their descriptors until the loop has had its turn.
+                gevent.sleep(0 if self.make_room() else FULL_S)
+            known = list(self.connections)
+            if self._take_rest():
+                return
+            now = now_ms()
+            for connection in self.connections.keys() - known:
+                connection.tell_away(now)
+            gevent.sleep(0)  # their readers, before any of them may have to make room
