The notice to leave counts from when it came, and signals wait from the first import on

The letter carries its time. - A signal in the first 0.3 s ended the process: serve held signals only after gevent and all actors were imported. They are held by a module that imports nothing, first of all. - A launch that found its link dropped but not yet ended (Unsent told before Parted) became a doubt again when the end was told, so a mutating or deduplicated exchange that never left was not launched again. Now it keeps its proof.

Tests: the notice behind letters, both orders of Unsent and Parted, a signal at the import of click; each fails before.

--- a/myrtlecrank/__main__.py
+++ b/myrtlecrank/__main__.py
@@ -1,6 +1,12 @@
 """python -m myrtlecrank"""
 
-from myrtlecrank.cli import main
+import sys
+
+from myrtlecrank.signals import hold_signals
 
 if __name__ == "__main__":
+    if "serve" in sys.argv[1:2]:
+        hold_signals()
+    from myrtlecrank.cli import main
+
     main(prog_name="myrtlecrank")
--- a/myrtlecrank/cli.py
+++ b/myrtlecrank/cli.py
@@ -12,6 +12,7 @@
 from myrtlecrank import __version__, orders, subsystems
 from myrtlecrank.operators.file import OperatorsError, known
 from myrtlecrank.operators.sections import explain
+from myrtlecrank.signals import hold_signals
 from myrtlecrank.subsystems import Operators
 
 if TYPE_CHECKING:
@@ -66,10 +67,9 @@
     SIGHUP reads the configuration again and moves to the agent and the list that it names; it reads the
     operators' file too, which is taken over whole or not at all.
     """
-    from myrtlecrank.serve import hold_signals
+    hold_signals()
     from myrtlecrank.serve import serve as run
 
-    hold_signals()
     told, operators = _read(file), _operators(operators_file)
     _placed(told, operators)
     try:
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -198,9 +198,11 @@
                 for ident in idents:
                     standing = self.table.get(ident)
                     if standing is not None and standing.running:
-                        standing.doubt = Outcome.UNREACHED
-            case Leave():
-                self._leave()
+                        # The end of that link may be told only after this, and must not turn it into a doubt.
+                        standing.doubt, standing.launch = Outcome.UNREACHED, 0
+                        self.doubted[standing] = None
+            case Leave(at):
+                self._leave(at)
             case Adopt(bounds):
                 self._adopt(bounds)
 
@@ -259,14 +261,16 @@
         self._answer(entry, Verdict.TERMINATED)
         self._run_ended(entry.ticket.ident, entry.doubt, 0.0, b"", genuine=False)
 
-    def _leave(self) -> None:
+    def _leave(self, at: float) -> None:
         if self.stop_at is not None:
             return
         logger.info("notice to leave, {} exchanges in hand", self.unanswered)
-        self.noticed, self.stop_at = self.now, self.now + self.stop_ms
+        # Guards against a notice that lay behind many letters: grace and stop count from when it came.
+        self.noticed = min(at, self.now)
+        self.stop_at = self.noticed + self.stop_ms
         self._at(self.stop_at - LAST_MS, self._beat_rivals)
         if self.controller is not None:
-            self._at(self.controller.leave(self.stop_ms, self.now), self._shut)
+            self._at(self.controller.leave(self.stop_ms, self.noticed), self._shut)
         else:
             self.board.well = False
             self.tell_health(False)
--- a/myrtlecrank/core/letters.py
+++ b/myrtlecrank/core/letters.py
@@ -117,7 +117,9 @@
 
 @dataclass(slots=True)
 class Leave:
-    """The notice to leave."""
+    """The notice to leave, and when it came: it may be read long after."""
+
+    at: float
 
 
 @dataclass(slots=True)
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -19,6 +19,7 @@
 from myrtlecrank.operators.file import OperatorsError
 from myrtlecrank.orders import Orders, OrdersError
 from myrtlecrank.roll.actor import Roll
+from myrtlecrank.signals import SIGNALS
 from myrtlecrank.subsystems import SECTIONS, Operators
 
 FAILED = 70  # exit code after an error of our own
@@ -27,14 +28,6 @@
 LAST_MS = 60.0  # before the process is stopped, it ends by itself
 
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
-
-def hold_signals() -> None:
-    """Guards against a signal that comes before serve() can follow it: it waits instead of ending us."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-
-
 def serve(
     orders: Orders,
     operators: Operators,
@@ -82,8 +75,8 @@
             if not core.unanswered and not front.connections and roll.told is False:
                 break
             gevent.sleep(LOOK_S)
-        front.last_words()
         logger.info("leaves with {} exchanges, {} connections", core.unanswered, len(front.connections))
+        front.last_words()
         over.set()
 
     held = [operators]
@@ -138,7 +131,7 @@
         core.on_beat.append(below.look)
 
     def leave() -> None:
-        core.mailbox.post(Leave())
+        core.mailbox.post(Leave(now_ms()))
         if fleet is not None:
             fleet.depart()
 
--- a/rig/backend.py
+++ b/rig/backend.py
@@ -134,5 +134,5 @@
     def leave(self) -> None:
         if self.alive and self.notice is None:
             self.notice = self.clock.now
-            self._post(Leave())
+            self._post(Leave(self.notice))
             self.clock.after(self.stop_ms, self.stop)
--- a/tests/test_below.py
+++ b/tests/test_below.py
@@ -295,7 +295,7 @@
 def test_calls_are_settled_before_the_stop_too() -> None:
     play = Calls()
     play.at_call()
-    play.turn(10.0, Leave())
+    play.turn(10.0, Leave(10.0))
     for now in range(20, 3200, 20):
         play.turn(float(now))
     assert play.core.unanswered == 0 and play.asked[-1] == Abandon("aa")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -230,16 +230,18 @@
     assert not play.answers
     play.turn(1001.0)
     assert len(play.answers) == 1 and play.core.unanswered == 2
-    play.turn(1100.0, Leave())
+    play.turn(1100.0, Leave(1100.0))
     play.ask("zz", 4100.0, wait=9000.0)
     play.turn(4101.0)
     assert play.core.unanswered == 0
 
 
-def test_what_found_no_link_any_more_never_left_and_is_launched_again() -> None:
+@pytest.mark.parametrize("first", [True, False])
+def test_what_found_no_link_any_more_never_left_and_is_launched_again(first: bool) -> None:
     play = Play(group(kind=Kind.MUTATING))
     play.ask("aa", 0.0)
-    play.turn(10.0, Parted(End.CLOSED), Unsent(["aa", "gone"]))
+    letters = [Parted(End.SILENT), Unsent(["aa", "gone"])]
+    play.turn(10.0, *(letters if first else reversed(letters)))
     play.turn(20.0, Greeted(False, 20.0))
     play.turn(30.0, Sampled(play.commands(Sample)[-1].tag, Gauges()))
     assert [c.ident for c in play.commands(Launch)] == ["aa", "aa"]
@@ -278,8 +280,8 @@
     play.core.on_shut.append(lambda: left.append(1))
     for i in range(6):
         play.ask(f"a{i}", 0.0)
-    play.turn(10.0, Leave())
-    play.turn(20.0, Leave())
+    play.turn(10.0, Leave(10.0))
+    play.turn(20.0, Leave(20.0))
     assert left == [] and play.health[-1] is False and play.core.stop_at == 3210.0
     play.ask("soon", 800.0, reached=800.0)
     assert "soon" in play.core.table and not play.core.board.shut
@@ -291,9 +293,20 @@
     assert play.core.unanswered == 0
 
 
+def test_a_notice_that_lay_behind_other_letters_counts_from_when_it_came() -> None:
+    """It came at 100 and is read at 700: the grace of 1,000 and the stop do not wait for that."""
+    play = Play()
+    play.turn(700.0, Leave(100.0))
+    assert play.core.stop_at == 3300.0
+    play.ask("within", 980.0, reached=980.0)
+    play.ask("beyond", 1150.0, reached=1150.0)
+    assert [c.ident for c in play.commands(Launch)] == ["within"] and play.core.board.shut
+    assert play.answers[-1].verdict is Verdict.DENIED
+
+
 def test_a_machine_that_comes_up_after_the_notice_gets_no_longer_grace_and_no_good_health() -> None:
     play = Play(greeted=False)
-    play.turn(0.0, Leave())
+    play.turn(0.0, Leave(0.0))
     play.turn(900.0, Greeted(True, 10.0))
     play.ask("in", 905.0, reached=700.0)
     play.ask("late", 1500.0, reached=1500.0)
@@ -376,7 +389,7 @@
             gone.add(ident)
             letters.append(CallersLeft([tickets[ident]]))
         if now > 9000.0 and play.core.stop_at is None:
-            letters.append(Leave())
+            letters.append(Leave(now))
         play.turn(now, *letters)
         for answer in play.answers[before:]:
             assert answer.ticket.ident not in answered_at, "two answers"
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -411,7 +411,7 @@
     _, sock = door.open()
     sock.sendall(ask_bytes(1))
     door.tickets(1)
-    door.play.turn(0.0, Leave())
+    door.play.turn(0.0, Leave(0.0))
     sock.sendall(ask_bytes(2))
     assert len(door.tickets(1)) == 1 and not door.front.listener.closed
     door.play.turn(1000.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -270,6 +270,24 @@
     assert done.returncode == 0 and "notice to leave" in done.stderr
 
 
+def test_a_signal_that_comes_while_the_program_is_loaded_waits_for_its_start(tmp_path: Path) -> None:
+    """It comes at the first import of a library, long before there is a configuration."""
+    text = ("import os, runpy, signal, sys\n"
+            "class Signals:\n"
+            "    def find_spec(self, name, *_):\n"
+            "        if name == 'click':\n"
+            "            os.kill(os.getpid(), signal.SIGHUP)\n"
+            "            os.kill(os.getpid(), signal.SIGTERM)\n"
+            "sys.meta_path.insert(0, Signals())\n"
+            "sys.argv = ['myrtlecrank', 'serve']\n"
+            "runpy.run_module('myrtlecrank', run_name='__main__')")
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address())) | {"stop_ms": 300}))
+    done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0 and "notice to leave" in done.stderr
+
+
 def test_an_error_in_an_actor_ends_the_process_with_its_trace(tmp_path: Path) -> None:
     text = ("import myrtlecrank.core.actor as a\n"
             "def broken(*_): raise RuntimeError('boom')\n"
