Links: a write that stands still, calls given up after a move, greetings that are read late

A standing write counts as silence. - below: a call given up after SIGHUP moved the layer was told to the new place, or to nobody where no new link stood; the old link stayed. It is told where the call went out, and a link left behind goes with its last call. - below and farm: between the drop of a link and its reader's end, calls and launches were put out on the closed socket and so counted as possibly done. They wait for the next link, or are told as never having left. - farm: a greeting read over a second late, on a link opened again soon after the last greeting, was taken for an agent that began anew, and all its runs were terminated. Of the time between two greetings counts what surely passed.

Tests hold each crossing and fail before. A stand-in of test_below let go of its socket, which closed it under the test; it holds it now, its assertions are as they were.

--- a/myrtlecrank/below/link.py
+++ b/myrtlecrank/below/link.py
@@ -31,7 +31,8 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.out: dict[str, tuple[float, float]] = {}  # when each went out, and is over at the latest
-        self.late_beats = self.quiet_beats = 0  # since a call is overdue; since a word came, with calls out
+        self.late_beats = self.quiet_beats = 0  # since a call is overdue; since a word came
+        self.writing = False
         self.dropped: End | None = None
 
     def drop(self, end: End) -> None:
@@ -56,32 +57,43 @@
         while True:
             wanted = self.mailbox.take()
             wire = self.wire
+            if wire is not None and wire.dropped is not None:
+                wire = None  # its reader has not woken yet; what were put out on it would seem to have left
             if wire is None and any(isinstance(one, Call) for one in wanted):
                 wire = self._open(max(one.timeout for one in wanted if isinstance(one, Call)))
-            if wire is None:
-                for one in wanted:
-                    if isinstance(one, Call):
-                        self.tell(CallEnded(one.ident, Outcome.UNREACHED, b""))
-                continue
-            self._write(wire, wanted)
+            self._share_out(wire, wanted)
 
-    def _write(self, wire: Wire, wanted: list[Below]) -> None:
-        ring = Ring()
+    def _share_out(self, wire: Wire | None, wanted: list[Below]) -> None:
+        """Calls go out on `wire`; one that is given up is so on the link that it is out on, which may be one
+        that was left behind."""
+        rings: dict[Wire, Ring] = {}
         for one in wanted:
             # A call is out before its first byte: once the write has begun nothing proves that it never came.
-            if isinstance(one, Call):
-                wire.out[one.ident] = self.now, self.now + one.timeout
-            elif all(one.ident not in other.out for other in self.wires):
-                continue
-            ring.append(lines.command(one))
             if isinstance(one, Abandon):
-                for other in self.wires:
-                    other.out.pop(one.ident, None)
+                holder = next((other for other in self.wires if one.ident in other.out), None)
+                if holder is None:
+                    continue
+                del holder.out[one.ident]
+            elif wire is None:
+                self.tell(CallEnded(one.ident, Outcome.UNREACHED, b""))
+                continue
+            else:
+                holder = wire
+                wire.out[one.ident] = self.now, self.now + one.timeout
+            rings.setdefault(holder, Ring()).append(lines.command(one))
+        for holder, ring in rings.items():
+            self._write(holder, ring)
+            if holder is not self.wire and not holder.out:
+                holder.drop(End.LEFT)  # nothing comes back on it any more that anybody waits for
+
+    def _write(self, wire: Wire, ring: Ring) -> None:
+        wire.writing = True
         try:
             while ring:
                 ring.skip(wire.sock.send(ring.data()))
         except OSError as error:
             wire.drop(of_error(error))
+        wire.writing = False
 
     def _open(self, patience: float) -> Wire | None:
         """A connection, tried for as long as the calls can wait for one."""
@@ -127,7 +139,9 @@
         for wire in list(self.wires):
             late = bool(wire.out) and now > min(until for _, until in wire.out.values()) + OVERDUE_MS
             wire.late_beats = wire.late_beats + 1 if late else 0
-            wire.quiet_beats = wire.quiet_beats + 1 if wire.out else 0
+            # A write that stands still counts too: where all that it gives up was all that was out, nothing
+            # else would end it, and it holds up every call behind it.
+            wire.quiet_beats = wire.quiet_beats + 1 if wire.out or wire.writing else 0
             quiet = wire.quiet_beats * BEAT_MS > max(self.patience, SILENT_CALLS * self.longest)
             if quiet or wire.late_beats > OVERDUE_BEATS:
                 wire.drop(End.SILENT)
--- a/myrtlecrank/farm/link.py
+++ b/myrtlecrank/farm/link.py
@@ -45,7 +45,8 @@
         self.heard, self.quiet = False, 0  # since the last beat; beats on which nothing had come
         self.sock: socket.socket | None = None
         self.dropped: End | None = None
-        self.began: tuple[float, float] | None = None  # how long the agent was up, and when it said so
+        self.began: tuple[float, float] | None = None  # how long the agent was up, and when that was read
+        self.asked = 0.0  # when the greeting that is waited for was asked for
         self.anew = False  # it has begun anew since the last greeting that was told
         self.moved = Flag()  # the address is another than the one tried last
 
@@ -78,7 +79,7 @@
         while True:
             wanted = self.mailbox.take()
             sock, ring = self.sock, self.outgoing
-            if sock is None or not self.greeted:
+            if sock is None or not self.greeted or self.dropped is not None:
                 unsent = [command.ident for command in wanted if isinstance(command, Launch)]
                 if unsent:
                     self.tell(Unsent(unsent))
@@ -113,6 +114,7 @@
             sock.settimeout(CONNECT_S)
             sock.connect(self.address)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.asked = time.monotonic() * 1000.0
             sock.sendall(lines.subscribe(self.read))
             sock.settimeout(None)  # the machine may come up long after this
             return self._notices(sock, Ring(FIRST_READ))
@@ -136,7 +138,7 @@
             self.heard = True
             for notice in lines.notices(ring):
                 if isinstance(notice, lines.Greeting) and not self.greeted:
-                    if self._began_anew(notice.up, time.monotonic() * 1000.0):
+                    if self._began_anew(notice.up):
                         # Its notices are numbered from 1 again, which what was read before would hide.
                         self.read, self.anew = 0, True
                         return End.LEFT
@@ -145,15 +147,16 @@
             if full:
                 gevent.sleep(0)  # after a break thousands may come at once: the others get their turn
 
-    def _began_anew(self, up: float, now: float) -> bool:
-        """Whether the agent is up for far less than it should be by what it said before; a greeting that was
-        read late is no new start."""
+    def _began_anew(self, up: float) -> bool:
+        """Whether the agent is up for far less than it should be by what it said before. Guards against
+        taking a greeting that was read late for a new start: of the time between two of them counts what
+        surely passed, from when the first was read to when the second was asked for."""
         missing = 0.0
         if self.began is not None:
-            passed = now - self.began[1]
+            passed = max(0.0, self.asked - self.began[1])
             missing = self.began[0] + passed - up
             missing = missing if missing > 0.5 * passed else 0.0
-        self.began = up, now
+        self.began = up, time.monotonic() * 1000.0
         return missing > ANEW_MS
 
     def notice(self, notice: lines.Notice) -> None:
--- a/tests/test_below.py
+++ b/tests/test_below.py
@@ -3,12 +3,14 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Iterator
 from typing import Any
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from helpers import Play, group
 
 from myrtlecrank.below import lines
@@ -142,12 +144,60 @@
     assert old.recv(100) == b"" and list(layer.link.wires) == [layer.link.wire]
 
 
+@pytest.mark.parametrize("opened", [False, True])
+def test_what_is_given_up_is_so_on_the_link_that_it_went_out_on(layer: Layer, opened: bool) -> None:
+    """The layer moves between a call and its exchange being given up."""
+    layer.link.mailbox.post(Call("aa", 900.0, b"q"))
+    old = layer.accept()
+    old.recv(100)
+    listener, address = layer.listen()
+    layer.link.move(address)
+    if opened:
+        layer.link.mailbox.post(Call("bb", 900.0, b"q"))
+        assert layer.accept(listener).recv(100).startswith(b"OP bb")
+    layer.link.mailbox.post(Abandon("aa"))
+    assert old.recv(100) == b"UNOP aa\r\n" and old.recv(100) == b""
+    while len(layer.link.wires) > opened:
+        gevent.sleep(0)
+
+
+def test_a_write_that_stands_still_is_ended_though_all_it_gives_up_was_out(layer: Layer) -> None:
+    """The layer takes nothing any more when the last call that is out is given up."""
+    layer.link.mailbox.post(Call("aa", 900.0, b"q"))
+    first = layer.accept()
+    first.recv(100)
+    wire = layer.link.wire
+    assert wire is not None
+
+    class Full:
+        def send(self, _: Any) -> int:
+            held.wait()
+            raise OSError(errno.EBADF, "closed")
+
+        def close(self) -> None:
+            held.set()
+            wire_sock.close()
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(wire_sock, name)
+
+    held, wire_sock = Event(), wire.sock
+    wire.sock = Full()
+    layer.link.mailbox.post(Abandon("aa"))
+    gevent.sleep(0)
+    layer.link.mailbox.post(Call("bb", 900.0, b"q"))
+    for _ in range(11):
+        layer.link.look(0.0)
+    assert layer.accept().recv(100).startswith(b"OP bb")
+
+
 def test_a_call_whose_end_is_never_told_is_given_up_and_an_abandoned_one_is_not_waited_for(
     layer: Layer
 ) -> None:
     layer.link.mailbox.post(Call("aa", 900.0, b"q"))
     layer.link.mailbox.post(Call("bb", 50.0, b"q"))
-    layer.accept().recv(100)
+    sock = layer.accept()  # held, or it would be closed with its last name
+    sock.recv(100)
     layer.link.mailbox.post(Abandon("aa"))
     gevent.sleep(0)
     for _ in range(OVERDUE_BEATS):
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from myrtlecrank.core.ends import End
-from myrtlecrank.core.letters import Freeze, Greeted, Launch, Parted, RunEnded, Sample, Sampled
+from myrtlecrank.core.letters import Freeze, Greeted, Launch, Parted, RunEnded, Sample, Sampled, Unsent
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.farm import lines
 from myrtlecrank.farm.link import SILENT_BEATS, Link
@@ -119,6 +119,55 @@
         gevent.killall(actors)
 
 
+def test_a_launch_that_comes_between_the_drop_of_a_link_and_its_end_never_left() -> None:
+    links: list[Any] = []
+    letters: Mailbox[Any] = Mailbox(100)
+    with gevent.Timeout(30), socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        link = Link(listener.getsockname(), [], letters.post)
+        actors = [gevent.spawn(agent, listener, links), gevent.spawn(link.run), gevent.spawn(link.write)]
+        assert letters.take() == [Greeted(False, 5.0)]
+        link.mailbox.post(Launch("aa", "group", b"x"))
+        for _ in range(SILENT_BEATS + 1):
+            link.look(0.0)
+        told = [letter for _ in range(2) for letter in letters.take()]
+        while len(told) < 3:
+            told += letters.take()
+        assert set(map(type, told[:2])) == {Unsent, Parted} and Unsent(["aa"]) in told
+        gevent.killall(actors)
+
+
+def test_a_greeting_that_is_read_long_after_it_came_is_no_new_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    """We stand still for 1.4 s between asking for it and reading it; the link had stood for 100 ms."""
+    letters: Mailbox[Any] = Mailbox(100)
+    clock, links = [50_000.0], list[Any]()
+    monkeypatch.setattr("myrtlecrank.farm.link.time.monotonic", lambda: clock[0])
+
+    def speak(listener: Any) -> None:
+        for up in (b"9000", b"9100"):
+            sock, _ = listener.accept()
+            links.append((sock, sock.recv(100)))
+            if len(links) == 2:
+                clock[0] += 1.4
+            sock.sendall(b"greeting LOADED %b\r\n" % up)
+
+    with gevent.Timeout(30), socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        link = Link(listener.getsockname(), [], letters.post)
+        actors = [gevent.spawn(speak, listener), gevent.spawn(link.run)]
+        assert letters.take() == [Greeted(False, 9000.0)]
+        links[0][0].sendall(b"aside 7 hello\r\n")
+        while link.read != 7:
+            gevent.sleep(0)
+        clock[0] += 0.1
+        links[0][0].close()
+        assert letters.take() == [Parted(End.CLOSED)] and letters.take() == [Greeted(False, 9100.0)]
+        assert [said for _, said in links] == [b"subscribe 0\r\n", b"subscribe 7\r\n"]
+        gevent.killall(actors)
+
+
 @pytest.mark.parametrize("hangs", [False, True])
 def test_a_link_that_ends_or_hangs_is_opened_again_from_the_last_notice(
     hangs: bool
