--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -50,6 +50,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
+        self.listening = True
         self.swept = now_ms()
         self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
         self.pace: Pace | None = None
@@ -185,6 +186,10 @@
             logger.info("connections come faster than they are accepted: {} a second at the most",
                         round(pace.per_second(self.board.warmth)))
 
+    def emptied(self) -> bool:
+        """Whether no caller is left, nor any that waits to be accepted."""
+        return not (self.listening or self.connections)
+
     def last_words(self) -> None:
         """The process ends: the last answers go out, and no byte that lies unread turns its end into a reset
         that destroys them. Each connection ends here and now: the process takes longer to end, and what is
@@ -217,6 +222,7 @@
                 continue  # this one is gone; those behind it are not
             except OSError:
                 self.listener.close()
+                self.listening = False
                 return True
         return False
 
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -72,7 +72,7 @@
     def watch_leaving() -> None:
         core_shut.wait()
         while now_ms() < (core.stop_at or 0.0) - LAST_MS:
-            if not core.unanswered and not front.connections and roll.told is False:
+            if not core.unanswered and front.emptied() and roll.told is False:
                 break
             gevent.sleep(LOOK_S)
         logger.info("leaves with {} exchanges, {} connections", core.unanswered, len(front.connections))
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -447,7 +447,24 @@
             # Each is told to bring no more before or after its answer, and none is reset.
             assert {read(sock)[0] for _ in range(2)} == {codec.AWAY, codec.ANSWER}
             sock.close()
-        while not door.front.listener.closed:
+        while not door.front.emptied():
+            gevent.sleep(0.001)
+
+
+def test_a_caller_that_waits_at_the_listener_keeps_the_drain_from_its_end() -> None:
+    with gevent.Timeout(3 * WAIT_S):
+        door = Door(sockets=SPARE_SOCKETS + 1)
+        address = door.front.listener.getsockname()
+        first, second = (socket.create_connection(address, timeout=WAIT_S) for _ in range(2))
+        door.front.shut()
+        (connection,) = door.front.connections
+        door.front.ended(connection)  # between its end and the turn in which the next one is accepted
+        assert not door.front.connections and not door.front.emptied()
+        second.sendall(ask_bytes(1))
+        assert len(door.tickets(1)) == 1
+        first.close()
+        second.close()
+        while not door.front.emptied():
             gevent.sleep(0.001)
 
 
