What waits at the listener at the end is bounded, and its readers have their turn first

The rest of the listener was taken without an end while a crowd keeps coming; it is as many as the system may hold for us. make_room could end one that had just been accepted and not been read: its reader has its turn before (the test of the crowd fails without that).

--- a/myrtlecrank/edge/front.py
+++ b/myrtlecrank/edge/front.py
@@ -50,7 +50,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.listening = True
+        self.rest = BACKLOG + 1  # that the system may hold for us at the end; 0 once all were taken
         self.swept = now_ms()
         self.accepting: gevent.greenlet.Greenlet[..., None] | None = None
         self.pace: Pace | None = None
@@ -188,7 +188,7 @@
 
     def emptied(self) -> bool:
         """Whether no caller is left, nor any that waits to be accepted."""
-        return not (self.listening or self.connections)
+        return not (self.rest or self.connections)
 
     def last_words(self) -> None:
         """The process ends: the last answers go out, and no byte that lies unread turns its end into a reset
@@ -207,36 +207,32 @@
         if self.accepting is not None:
             self.accepting.kill(block=False)
         self.listener.settimeout(0.0)
-        if not self._take_rest():
-            self.spawn(self._take_rest_in_turn)
         now = now_ms()
         for connection in self.connections:
             connection.tell_away(now)
+        if not self._take_rest():
+            self.spawn(self._take_rest_in_turn)
 
     def _take_rest(self) -> bool:
-        """As many as there are descriptors for. Whether these were all; the listener is closed then."""
-        while len(self.connections) < self.most:
+        """As many as there are descriptors for, each told at once to bring no more. Whether these were all
+        that the system held; the listener is closed then."""
+        while self.rest and len(self.connections) < self.most:
+            self.rest -= 1
             try:
-                self.accept(self.listener.accept()[0])
+                self.accept(self.listener.accept()[0]).tell_away(now_ms())
             except ConnectionAbortedError:
                 continue  # this one is gone; those behind it are not
             except OSError:
-                self.listener.close()
-                self.listening = False
-                return True
-        return False
+                self.rest = 0
+        if not self.rest:
+            self.listener.close()
+        return not self.rest
 
     def _take_rest_in_turn(self) -> None:
         """Guards the limit of descriptors against a crowd that waits at the listener when it is to close: the
-        others come in as those before them go, each at once told to bring no more."""
-        while True:
-            if len(self.connections) >= self.most:
-                # Closed ones hold their descriptors until the loop has had its turn.
-                gevent.sleep(0 if self.make_room() else FULL_S)
-            known = list(self.connections)
-            if self._take_rest():
-                return
-            now = now_ms()
-            for connection in self.connections.keys() - known:
-                connection.tell_away(now)
-            gevent.sleep(0)  # their readers, before any of them may have to make room
+        others come in as those before them go."""
+        while not self._take_rest():
+            gevent.sleep(0)  # the readers of those just accepted, before any of them may have to make room
+            if len(self.connections) >= self.most and not self.make_room():
+                gevent.sleep(FULL_S)
+            gevent.sleep(0)  # closed ones hold their descriptors until the loop has had its turn
