On sockets each read is answered with what was made for it alone

The lines: orders.parse passed shareFor on to the module, whose Retain and Join have no word in the protocol of sockets.

The test plays three reads on one subject over sockets; the program before answers the second with the first's result.

--- a/myrtlecrank/orders.py
+++ b/myrtlecrank/orders.py
@@ -94,6 +94,9 @@
 def parse(fields: Fields) -> Orders:
     conf = fields.inner("settings")
     facts = start_facts(conf, _seed(fields))
+    # On sockets an answer is what was made for its own exchange: the protocol has no word by which one would
+    # share another's, whatever the settings allow.
+    facts.share_for = 0.0
     if not facts.groups or facts.cores < 1 or facts.memory_kb <= 0:
         raise FieldError(f"{conf.where}: needs at least one category, one core and some memory")
     if any(not 0 < group.slo <= group.timeout for group in facts.groups):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,7 +15,7 @@
 from myrtlecrank.core.actor import now_ms
 from myrtlecrank.core.ends import End
 from myrtlecrank.core.letters import Answer, Arrived, CallersLeft, Leave, Verdict
-from myrtlecrank.edge.front import SPARE_SOCKETS, Front
+from myrtlecrank.edge.front import Front
 from myrtlecrank.edge.pace import Accepting
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring import Ring
@@ -28,10 +28,12 @@
 class Door:
     """A front whose module's actor does not run: its mailbox is read by hand."""
 
-    def __init__(self, sockets: int = 1024, kind: Kind = Kind.REPEATABLE, **others: Any) -> None:
+    def __init__(self, sockets: int = 1024, kind: Kind = Kind.REPEATABLE, most: int | None = None,
+                 **others: Any) -> None:
         self.play = Play(group(kind), tenants=[Tenant("acme", 1.0, 10.0)], idle=30_000.0, **others)
         self.core = self.play.core
         self.front = Front(("127.0.0.1", 0), sockets, self.core)
+        self.front.most = most or self.front.most
 
     def open(self) -> tuple[Any, Any]:
         """Our end of a new connection, and the caller's."""
@@ -431,7 +433,7 @@
 
 def test_a_crowd_at_the_listener_when_it_closes_takes_no_more_descriptors_than_there_are() -> None:
     with gevent.Timeout(3 * WAIT_S):
-        door = Door(sockets=SPARE_SOCKETS + 3)
+        door = Door(most=3)
         address = door.front.listener.getsockname()
         crowd = [socket.create_connection(address, timeout=WAIT_S) for _ in range(12)]
         for sock in crowd:
@@ -453,7 +455,7 @@
 
 def test_a_caller_that_waits_at_the_listener_keeps_the_drain_from_its_end() -> None:
     with gevent.Timeout(3 * WAIT_S):
-        door = Door(sockets=SPARE_SOCKETS + 1)
+        door = Door(most=1)
         address = door.front.listener.getsockname()
         first, second = (socket.create_connection(address, timeout=WAIT_S) for _ in range(2))
         door.front.shut()
@@ -670,7 +672,7 @@
 
 
 def test_what_still_comes_off_a_connection_that_made_room_is_passed_over() -> None:
-    door = Door(sockets=SPARE_SOCKETS + 1)
+    door = Door(most=1)
     connection, sock = door.open()
     assert door.front.make_room() and connection.end is End.LEFT
     (ask,) = codec.Decoder(filled(ask_bytes(1))).frames()
@@ -695,7 +697,7 @@
 
 def test_a_flood_of_idle_connections_leaves_room_and_busy_ones_stay() -> None:
     with gevent.Timeout(3 * WAIT_S):
-        door = Door(sockets=SPARE_SOCKETS + 3)
+        door = Door(most=3)
         accepting = gevent.spawn(door.front.run)
         address = door.front.listener.getsockname()
         callers = [socket.create_connection(address) for _ in range(2)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -333,6 +333,41 @@
         process.wait()
 
 
+def test_each_read_gets_what_was_made_for_it_alone_though_the_settings_allow_to_share(tmp_path: Path) -> None:
+    """The second on the same subject comes while the first runs, the third right after its end."""
+    agent, roll, address, told = surroundings()
+    told["settings"]["domain"] |= {"shareFor": 60_000_000}
+    process = start(tmp_path, told | {"stop_ms": 300}, "serve")
+    try:
+        link = agent.accept()[0]
+        until(link, b"subscribe 0\r\n")
+        link.sendall(b"greeting LOADED 9000\r\n")
+        until(roll.accept()[0], b'{"phase":"UP"}')
+        caller = socket.create_connection(address)
+        caller.settimeout(30)
+
+        def ask(stream: int) -> None:
+            body = b"body %d" % stream
+            caller.sendall(ask_bytes(stream, body, s=str(int(time.time() * 1000)), d="8000", o="subject"))
+            assert until(link, body).count(b"launch %016x group 6" % stream) == 1
+
+        def end(number: int, stream: int) -> None:
+            link.sendall(b"outcome %d %016x PASS 5 2\r\nr%d\r\n" % (number, stream, stream))
+            assert until(caller, b"r%d" % stream)[5:9] == stream.to_bytes(4, "little")
+
+        ask(1)
+        ask(2)
+        end(1, 2)
+        end(2, 1)
+        ask(3)
+        end(3, 3)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+        process.communicate()
+
+
 def test_a_site_with_a_layer_below_starts_and_its_calls_are_made(tmp_path: Path) -> None:
     """One process: a run comes to its call, the layer moves on SIGHUP, what it brings goes to the run."""
     agent, roll, address, told = surroundings()
