--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -256,6 +256,14 @@
         process.kill()
 
 
+def outcome(tmp_path: Path, text: str) -> subprocess.CompletedProcess[str]:
+    """Of a whole program of its own, started by `text`, that is to end by itself."""
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address())) | {"stop_ms": 300}))
+    return subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
+                          capture_output=True, text=True, timeout=60)
+
+
 def test_a_signal_that_comes_before_the_start_waits_for_it(tmp_path: Path) -> None:
     text = ("import os, signal\nfrom myrtlecrank import orders\nread = orders.read\n"
             "def slow(file):\n"
@@ -263,10 +271,7 @@
             "    return read(file)\n"
             "orders.read = slow\n"
             "from myrtlecrank.cli import main; main(['serve'])")
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address())) | {"stop_ms": 300}))
-    done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
-                          capture_output=True, text=True, timeout=60)
+    done = outcome(tmp_path, text)
     assert done.returncode == 0 and "notice to leave" in done.stderr
 
 
@@ -281,10 +286,7 @@
             "sys.meta_path.insert(0, Signals())\n"
             "sys.argv = ['myrtlecrank', 'serve']\n"
             "runpy.run_module('myrtlecrank', run_name='__main__')")
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address())) | {"stop_ms": 300}))
-    done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
-                          capture_output=True, text=True, timeout=60)
+    done = outcome(tmp_path, text)
     assert done.returncode == 0 and "notice to leave" in done.stderr
 
 
@@ -294,10 +296,7 @@
             "a.Core.turn = broken\n"
             "a.Core.run = lambda core: core.turn([], 0.0)\n"
             "from myrtlecrank.cli import main; main(['serve'])")
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(changed("listen", "{}:{}".format(*free_address()))))
-    done = subprocess.run([sys.executable, "-c", text], env={**os.environ, "PROXY_CONFIG": str(file)},
-                          capture_output=True, text=True, timeout=60)
+    done = outcome(tmp_path, text)
     assert done.returncode == 70 and "RuntimeError: boom" in done.stderr
 
 
