--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -103,10 +103,16 @@
         pass
 
 
+class _MembershipServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, *_: object) -> None:
+        """A backend that is killed resets its connection; that is no error here."""
+
+
 def membership_service() -> str:
     """A membership service that answers every report with 204."""
-    server = http.server.ThreadingHTTPServer((HOST, 0), _Report)
-    server.daemon_threads = True
+    server = _MembershipServer((HOST, 0), _Report)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return "{}:{}".format(*server.server_address)
 
