A result or skipped call that may have arrived is never sent to the agent again

Cause: `deliver` and `forgo` name the exchange, not the call. `_settle_entries_in_doubt` (core/actor.py) sent them again after a reconnection if no later sample had come back on the lost link and the missed notices showed no sign. The run may have had the first copy and reach its next call while the second is on its way, and the agent takes that for the next call. Excluded: the layer below (its record and the first copies are right), notices read twice, two runs (one launch each).

Change: core/recovery.py says for each kind of command what is sent again, by what a second copy does at the agent. A result or `forgo` goes again only if no byte of it left; the client reports that of every command now, also behind the one at which a write broke (it knew of launches on a closed link alone). A repeatable run that is silent for twice as long as runs of late needed at the most is stopped and launched anew; others wait for their async timeout. Why it works: each call of a run is continued by at most one copy, whatever the delays.

--- a/myrtlecrank/agent/client.py
+++ b/myrtlecrank/agent/client.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from itertools import accumulate
 from typing import NamedTuple
 
 import gevent
@@ -19,11 +20,11 @@
     AgentConnected,
     AgentDisconnected,
     CallRequested,
+    CommandsNotSent,
     CoreEvent,
     GaugesSampled,
     RunEnded,
-    StartRun,
-    StartsNotSent,
+    SampleGauges,
 )
 from myrtlecrank.frames.ring_buffer import RingBuffer
 from myrtlecrank.policy.interface import Gauges, Outcome
@@ -103,24 +104,43 @@
     def write_commands(self) -> None:
         """Writes the commands, many at a time.
 
-        While there is no connection, start commands are reported as not sent. Other commands are dropped: the
-        notices after the next connection show what became of their exchanges.
+        What is not sent because there is no connection, or because it ends, is reported: such commands may be
+        sent again whatever they do.
         """
         while True:
             commands = self.mailbox.take()
-            sock, buffer = self.sock, self.outgoing
+            sock = self.sock
             if sock is None or not self.is_connected or self.drop_reason is not None:
-                unsent = [command.exchange_id for command in commands if isinstance(command, StartRun)]
-                if unsent:
-                    self.post_event(StartsNotSent(unsent))
-                continue
-            try:
-                buffer.append(b"".join(map(codec.encode_command, commands)))
-                while buffer:
-                    buffer.discard(sock.send(buffer.readable_view()))
-            except OSError as error:
-                if sock is self.sock:  # that connection may have ended, and another may be open by now
-                    self._drop(reason_of_error(error))
+                self._report_unsent(commands)
+            else:
+                self._write(sock, commands)
+
+    def _write(self, sock: socket.socket, commands: list[AgentCommand]) -> None:
+        buffer = self.outgoing
+        encoded = [codec.encode_command(command) for command in commands]
+        buffer.append(b"".join(encoded))
+        written = 0
+        try:
+            while buffer:
+                count = sock.send(buffer.readable_view())
+                buffer.discard(count)
+                written += count
+        except OSError as error:
+            if sock is self.sock:  # that connection may have ended, and another may be open by now
+                self._drop(reason_of_error(error))
+            ends = accumulate(map(len, encoded))
+            # A command of which some bytes were sent may count at the agent, even without its end.
+            unsent = [
+                command
+                for command, raw, end in zip(commands, encoded, ends, strict=True)
+                if end - len(raw) >= written
+            ]
+            self._report_unsent(unsent)
+
+    def _report_unsent(self, commands: list[AgentCommand]) -> None:
+        unsent = [command for command in commands if not isinstance(command, SampleGauges)]
+        if unsent:
+            self.post_event(CommandsNotSent(unsent))
 
     def check_silence(self, _: float) -> None:
         """Drops a connection that hangs without closing, in either direction; called on each sampling tick.
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -27,6 +27,7 @@
     CallRequested,
     CancelCall,
     CancelRun,
+    CommandsNotSent,
     CoreEvent,
     DeliverCallResult,
     DependencyCommand,
@@ -36,15 +37,16 @@
     ExchangesAbandoned,
     GaugesSampled,
     RetryOptionsChanged,
+    RunCommand,
     RunEnded,
     SampleGauges,
     SkipCall,
     StartCall,
     StartRun,
-    StartsNotSent,
     Verdict,
 )
 from myrtlecrank.core.published_state import PublishedState
+from myrtlecrank.core.recovery import RecoveryStep, recovery_step
 from myrtlecrank.core.result_cache import ResultCache
 from myrtlecrank.policy import interface
 from myrtlecrank.policy.controller import Controller
@@ -167,8 +169,8 @@
         match event:
             case ExchangeArrived(request):
                 self._exchange_arrived(request)
-            case RunEnded(exchange_id, outcome, duration, result, refused):
-                self._run_ended(exchange_id, outcome, duration, result, not refused)
+            case RunEnded():
+                self._run_reported(event)
             case CallRequested(exchange_id, body):
                 self._call_requested(exchange_id, body)
             case CallEnded(exchange_id, outcome, result):
@@ -185,14 +187,9 @@
                 self._agent_disconnected(
                     Outcome.RESET if reason is CloseReason.CONNECT_FAILED else OUTCOME_BY_REASON[reason]
                 )
-            case StartsNotSent(exchange_ids):
-                for exchange_id in exchange_ids:
-                    entry = self.entries_by_id.get(exchange_id)
-                    if entry is not None and entry.running:
-                        # The disconnection may be reported only now; it must not put the outcome in doubt.
-                        entry.lost_start_outcome = Outcome.UNREACHED
-                        entry.start_number = 0
-                        self.entries_in_doubt[entry] = None
+            case CommandsNotSent(commands):
+                for command in commands:
+                    self._command_not_sent(command)
             case DrainRequested(requested_at):
                 self._drain_requested(requested_at)
             case RetryOptionsChanged(options):
@@ -236,20 +233,68 @@
                 self.entries_in_doubt[entry] = None
             if entry.resume_number > self.last_received_command:
                 entry.resume_number = 0
+                entry.resume_in_doubt = True
+
+    def _command_not_sent(self, command: RunCommand) -> None:
+        """Takes back that a command may have been received. The disconnection may be reported only after
+        this, and must not put the command in doubt again."""
+        entry = self.entries_by_id.get(command.exchange_id)
+        if entry is None or not entry.running:
+            return
+        if isinstance(command, StartRun):
+            entry.lost_start_outcome = Outcome.UNREACHED
+            entry.start_number = 0
+            self.entries_in_doubt[entry] = None
+        elif isinstance(command, CancelRun):
+            entry.cancel_number = 0
+        elif command is entry.resume_command:
+            entry.resume_number = 0
+            entry.resume_in_doubt = False
 
     def _settle_entries_in_doubt(self) -> None:
-        """After a reconnection, ends cancelled executions that were never started, and sends again the lost
-        commands that may safely be repeated."""
+        """After a reconnection, recovers the entries whose commands were lost or may have been."""
         for entry in list(self.entries_by_id.values()):
-            never_sent = entry.lost_start_outcome is Outcome.UNREACHED
-            repeatable = self.settings.groups[entry.request.group].kind is EffectKind.REPEATABLE
-            if entry.running and entry.cancel_requested:
-                self._end_lost_run(entry) if never_sent else self._send_cancel(entry)
-            elif entry.running and entry.lost_start_outcome is not None and (never_sent or repeatable):
-                self._send_start(entry)
-            elif entry.running and entry.resume_command is not None and not entry.resume_number:
-                # The agent reported neither a further call nor an end: the execution still waits at its call.
-                self._send_resume(entry, entry.resume_command)
+            is_repeatable = self.settings.groups[entry.request.group].kind is EffectKind.REPEATABLE
+            match recovery_step(entry, is_repeatable):
+                case RecoveryStep.END_LOST_RUN:
+                    self._end_lost_run(entry)
+                case RecoveryStep.CANCEL:
+                    self._send_cancel(entry)
+                case RecoveryStep.START:
+                    self._send_start(entry)
+                case RecoveryStep.CONTINUE:
+                    assert entry.resume_command is not None
+                    self._send_resume(entry, entry.resume_command)
+                case RecoveryStep.WATCH:
+                    self._watch_run(entry)
+
+    def _watch_run(self, entry: ExchangeEntry) -> None:
+        """Waits for a sign of a run that may have received the end of its call, or may wait for it."""
+        assert self.controller is not None
+        patience_ms = self.controller.restart_patience(entry.exchange)
+        if patience_ms is not None:
+            command = entry.resume_command
+            self._add_timer(self.now + patience_ms, lambda: self._restart_if_silent(entry, command))
+
+    def _restart_if_silent(self, entry: ExchangeEntry, command: object) -> None:
+        """Cancels a run that has given no sign since the end of its call was put in doubt, to start it
+        anew."""
+        is_silent = entry.running and entry.resume_in_doubt and entry.resume_command is command
+        if not is_silent or entry.answered or entry.cancel_requested or entry.restart_requested:
+            return
+        logger.warning("a run is started anew: the end of its call may have been lost with the agent's link")
+        entry.restart_requested = True
+        if self.agent_connected:
+            self._send_cancel(entry)
+
+    def _restart(self, entry: ExchangeEntry) -> None:
+        assert self.controller is not None
+        entry.restart_requested = False
+        entry.resume_command = None
+        entry.resume_in_doubt = False
+        entry.cancel_number = 0
+        self.controller.run_restarted(entry.exchange, self.now)
+        self._send_start(entry)
 
     def _end_lost_run(self, entry: ExchangeEntry) -> None:
         """Ends an execution whose start command was lost. The agent never reports its end, not even after a
@@ -363,6 +408,17 @@
             logger.warning("an exchange is terminated: its identifier or key is in use")
             request.send_answer(Answer(request, Verdict.TERMINATED))
 
+    def _run_reported(self, report: RunEnded) -> None:
+        """The agent reports the end of a run: it was to be started anew, or its exchange ends."""
+        entry = self.entries_by_id.get(report.exchange_id)
+        is_restarting = entry is not None and entry.running and entry.restart_requested
+        if entry is not None and is_restarting and not entry.answered and report.outcome is Outcome.CANCELLED:
+            self._restart(entry)
+        else:
+            self._run_ended(
+                report.exchange_id, report.outcome, report.duration, report.result, not report.refused
+            )
+
     def _run_ended(
         self, exchange_id: str, outcome: Outcome, duration: float, result: bytes, confirmed: bool
     ) -> None:
@@ -533,11 +589,14 @@
         entry = self.entries_by_id.get(exchange_id)
         if entry is None or not entry.running or entry.call_started_at is not None or self.controller is None:
             return
+        if entry.restart_requested:
+            return  # the run is being cancelled, and asks again after its new start
         if self.send_to_dependency is None:
             logger.warning("an execution asks for a dependency call, and the settings name no dependency")
             return
         entry.call_body = body
         entry.resume_command = None
+        entry.resume_in_doubt = False
         entry.lost_start_outcome = None
         entry.start_number = 0
         entry.confirmed = True
@@ -556,9 +615,10 @@
         self.controller.call_ended(entry.exchange, outcome, duration, self.now)
 
     def _send_resume(self, entry: ExchangeEntry, command: DeliverCallResult | SkipCall) -> None:
-        """Continues an execution that waits at its call. The command is kept, and sent again after a
-        reconnection if it was lost or there was no connection: else the execution would wait for ever."""
+        """Continues an execution that waits at its call. The command is kept until the agent reports more,
+        and sent after a reconnection if there was no connection."""
         entry.resume_command = command
+        entry.resume_in_doubt = False
         entry.resume_number = self.next_number() if self.agent_connected else 0
         if self.agent_connected:
             self.send_to_agent(command)
--- a/myrtlecrank/core/exchange_entry.py
+++ b/myrtlecrank/core/exchange_entry.py
@@ -28,8 +28,10 @@
         "outcome",
         "request",
         "request_hash",
+        "restart_requested",
         "result",
         "resume_command",
+        "resume_in_doubt",
         "resume_number",
         "running",
         "start_number",
@@ -64,3 +66,5 @@
         # How the call ended, until the agent reports more.
         self.resume_command: DeliverCallResult | SkipCall | None = None
         self.resume_number = 0
+        self.resume_in_doubt = False  # it was sent on a connection that was lost, and may have been received
+        self.restart_requested = False  # the run is cancelled to be started anew
--- a/myrtlecrank/core/messages.py
+++ b/myrtlecrank/core/messages.py
@@ -94,13 +94,6 @@
     refused: bool = False  # the agent does not know the exchange
 
 
-@dataclass(slots=True)
-class StartsNotSent:
-    """The start commands of these exchanges found no connection: no part of them was sent."""
-
-    exchange_ids: list[str]
-
-
 @dataclass(slots=True)
 class CallRequested:
     """An execution waits for a call to the dependency, whose request is `body`."""
@@ -201,12 +194,27 @@
     exchange_id: str
 
 
+RunCommand = StartRun | CancelRun | DeliverCallResult | SkipCall
+AgentCommand = RunCommand | SampleGauges
+DependencyCommand = StartCall | CancelCall
+
+
+# An event that names commands
+
+
+@dataclass(slots=True)
+class CommandsNotSent:
+    """No byte of these commands to the agent was sent, so it has certainly not received them."""
+
+    commands: list[RunCommand]
+
+
 CoreEvent = (
     ExchangeArrived
     | ExchangesAbandoned
     | AgentConnected
     | AgentDisconnected
-    | StartsNotSent
+    | CommandsNotSent
     | RunEnded
     | CallRequested
     | CallEnded
@@ -214,5 +222,3 @@
     | DrainRequested
     | RetryOptionsChanged
 )
-AgentCommand = StartRun | CancelRun | SampleGauges | DeliverCallResult | SkipCall
-DependencyCommand = StartCall | CancelCall
--- a/myrtlecrank/policy/controller.py
+++ b/myrtlecrank/policy/controller.py
@@ -60,6 +60,10 @@
 CALLS_PER_CORE = 3  # calls in flight where the dependency is a tier of backends like this one
 CALL_TRIES = 3
 MIN_CALL_TIMEOUT_MS = 1.0
+# A run whose call result may be lost is started anew after a silence of so many times the longest that runs
+# usually need from the end of a call to their next call or their end.
+RESTART_SILENCE_MULTIPLE = 2.0
+LONGEST_SILENCE_DECAY = 0.95  # for each run that goes on
 
 # Rates of tenants
 TENANT_RATE_WINDOW_MS = 3000.0
@@ -164,6 +168,7 @@
             SAMPLE_INTERVAL_MS + 2.0 * settings.clock_granularity
         )  # answers go out this long before due
         self.can_cancel = settings.cancellation is not Cancellation.NONE
+        self.can_restart = settings.cancellation is Cancellation.DROP  # a paused run would keep its progress
 
         # Advice to callers
         self.published_value_kind = settings.published_value_kind
@@ -186,6 +191,7 @@
         self.mean_calls_in_flight = 0.0
         self.calls_averaged_at = now
         self.waiting_for_call: deque[ExchangeState] = deque()
+        self.longest_silence_ms = 0.0  # of recent runs, from the end of a call to their next sign
 
         # Exchanges in progress
         self.running: dict[ExchangeState, None] = {}
@@ -355,6 +361,7 @@
             self._count_calls(1)
         elif isinstance(operation, interface.SkipCall):
             state.phase = Phase.RUNNING
+            state.resumed_at = self.now
 
     def _leave_call(self, state: ExchangeState) -> None:
         if state.phase is Phase.CALLING:
@@ -590,6 +597,7 @@
             return
         self.ended_since_sample += state.phase is not Phase.WAITING_FOR_ORIGINAL
         if state.phase is not Phase.WAITING_FOR_ORIGINAL and outcome is Outcome.OK:
+            self._end_silence(state)
             self._learn_run(state, took)
         if outcome is Outcome.NOT_STARTED:
             self._release_key(state)
@@ -627,8 +635,10 @@
     def call_reached(self, exchange: Exchange, now: float) -> None:
         """A run waits at a call to the dependency."""
         self.now = now
-        if exchange.controller_state is not None and exchange.controller_state.phase is Phase.RUNNING:
-            self._advance(exchange.controller_state, ResumeReason.REACHED_CALL)
+        state: ExchangeState | None = exchange.controller_state
+        if state is not None and state.phase is Phase.RUNNING:
+            self._end_silence(state)
+            self._advance(state, ResumeReason.REACHED_CALL)
 
     def call_ended(self, exchange: Exchange, outcome: Outcome, took: float, now: float) -> None:
         """A call to the dependency ended after `took` ms."""
@@ -642,8 +652,37 @@
             self._count_calls(-1)
         state.dependency_ms += took
         state.phase = Phase.RUNNING if outcome is Outcome.OK else Phase.WAITING_FOR_CALL
+        state.resumed_at = now if outcome is Outcome.OK else None
         self._advance(state, outcome)
 
+    def restart_patience(self, exchange: Exchange) -> float | None:
+        """How long (ms) the run of an exchange may give no sign once the end of its call may have been lost.
+
+        It is started anew then. None: it is left alone until its exchange is due, as it may run only once,
+        or cannot be cancelled.
+        """
+        state: ExchangeState | None = exchange.controller_state
+        if state is None or not state.is_repeatable or not self.can_restart:
+            return None
+        return RESTART_SILENCE_MULTIPLE * max(self.longest_silence_ms, self._expected_run_ms(state))
+
+    def run_restarted(self, exchange: Exchange, now: float) -> None:
+        """A run was cancelled and started anew, as the end of its call was lost."""
+        self.now = now
+        state: ExchangeState | None = exchange.controller_state
+        if state is not None:
+            state.started_at = now
+            state.resumed_at = None
+            state.cpu_ms = 0.0
+            state.dependency_ms = 0.0
+
+    def _end_silence(self, state: ExchangeState) -> None:
+        """A run shows that it went on after its call, or has ended by itself."""
+        if state.resumed_at is not None:
+            silence_ms = self.now - state.resumed_at
+            self.longest_silence_ms = max(silence_ms, LONGEST_SILENCE_DECAY * self.longest_silence_ms)
+            state.resumed_at = None
+
     def _count_calls(self, change: int) -> None:
         """Changes the number of calls in flight, and brings its mean up to date first."""
         weight = 1.0 - exp((self.calls_averaged_at - self.now) / self.calls_window_ms)
--- a/myrtlecrank/policy/exchange_state.py
+++ b/myrtlecrank/policy/exchange_state.py
@@ -69,6 +69,7 @@
         self.started_at = 0.0
         self.cpu_ms = 0.0
         self.dependency_ms = 0.0  # spent in calls
+        self.resumed_at: float | None = None  # when its last call ended, until its run shows that it went on
         self.value = 0.0
         self.is_answered = False
         self.flow: Flow | None = None
