The due time ends a lost launch, or a run in doubt, whose caller has left

Cause: `Controller.settle` skipped the due time of answered exchanges and `caller_left` marks them as answered, so nothing stopped the run; without cancellation nothing could tell the core that a launch never arrived. Change: the due time stops the run of an answered exchange too; where runs cannot be stopped the operation is ReleaseRun, and the core ends the run if its launch or its call's result is in doubt, then or after the next lost link. Runs that wait at a call when their exchange ends are stopped like others.

--- a/myrtlecrank/core/exchange_entry.py
+++ b/myrtlecrank/core/exchange_entry.py
@@ -26,6 +26,7 @@
         "lost_start_outcome",
         "original",
         "outcome",
+        "released",
         "request",
         "request_hash",
         "restart_requested",
@@ -50,6 +51,7 @@
         self.answered = False
         self.running = False
         self.cancel_requested = False
+        self.released = False  # nobody waits for the run, and it cannot be cancelled
         self.lost_start_outcome: Outcome | None = None  # of a start command that was lost with its connection
         self.outcome: Outcome | None = None
         self.ended_at = 0.0
@@ -68,3 +70,7 @@
         self.resume_number = 0
         self.resume_in_doubt = False  # it was sent on a connection that was lost, and may have been received
         self.restart_requested = False  # the run is cancelled to be started anew
+
+    def is_in_doubt(self) -> bool:
+        """Whether its run may never have started, or may wait at its call for ever."""
+        return self.running and (self.lost_start_outcome is not None or self.resume_in_doubt)
--- a/myrtlecrank/core/recovery.py
+++ b/myrtlecrank/core/recovery.py
@@ -23,7 +23,7 @@
     """What is done for an entry once the agent is connected again and its reports of the outage are in."""
 
     NOTHING = auto()
-    END_LOST_RUN = auto()  # its start was never sent, and it is to be cancelled
+    END_LOST_RUN = auto()  # nobody waits for the run, and it will never end by itself
     CANCEL = auto()
     START = auto()
     CONTINUE = auto()  # with the end of its call, which was not sent
@@ -37,6 +37,8 @@
     never_sent = entry.lost_start_outcome is Outcome.UNREACHED
     if entry.cancel_requested or entry.restart_requested:
         return RecoveryStep.END_LOST_RUN if never_sent else RecoveryStep.CANCEL
+    if entry.released and entry.is_in_doubt():
+        return RecoveryStep.END_LOST_RUN
     if entry.lost_start_outcome is not None:
         return RecoveryStep.START if never_sent or is_repeatable else RecoveryStep.NOTHING
     if entry.resume_command is None or entry.resume_number:
--- a/myrtlecrank/policy/controller.py
+++ b/myrtlecrank/policy/controller.py
@@ -286,8 +286,8 @@
         # A run abandoned under pressure would mostly fail elsewhere as well; on calm backends a retry may do.
         is_pressed = resumed_by is ResumeReason.DURESS or self._mean_cpu() > DURESS_CPU_FRACTION
         yield self._denial(state) if state.is_repeatable and is_pressed else interface.Fail(exchange)
-        if self.can_cancel and state.phase in (Phase.RUNNING, Phase.CALLING):
-            yield interface.Cancel(exchange)
+        if state in self.running:
+            yield self._stop_run(exchange)
 
     def _call_flow(self, state: ExchangeState) -> Generator[Any, Any, Any]:
         """Makes a call with the remaining time as its timeout; retries only where that can do no harm."""
@@ -728,8 +728,8 @@
         while self.timers and self.timers[0][0] <= now:
             at, _, action = heappop(self.timers)
             if isinstance(action, ExchangeState):
-                if action.wake_at == at and not action.is_answered:
-                    self._resume(action, ResumeReason.TOO_LATE)
+                if action.wake_at == at:
+                    self._exchange_due(action)
             elif isinstance(action, int):
                 self._count_calls(action)
             else:
@@ -743,6 +743,19 @@
         self._start_queued()
         self.peak_in_progress = max(self.peak_in_progress, self.queued_count + len(self.running))
 
+    def _exchange_due(self, state: ExchangeState) -> None:
+        """The time of an exchange is up: it is answered, and what still runs of it is stopped.
+
+        It may have been answered before, as its caller left; its run may then wait for what never comes.
+        """
+        if not state.is_answered:
+            self._resume(state, ResumeReason.TOO_LATE)
+        elif state in self.running:
+            self.perform(self._stop_run(state.exchange))
+
+    def _stop_run(self, exchange: Exchange) -> interface.Operation:
+        return interface.Cancel(exchange) if self.can_cancel else interface.ReleaseRun(exchange)
+
     def start_drain(self, left: float, now: float) -> float:
         """Starts the drain, with `left` ms until the process stops; returns until when arrivals may run.
 
--- a/myrtlecrank/policy/interface.py
+++ b/myrtlecrank/policy/interface.py
@@ -170,6 +170,14 @@
     exchange: Exchange
 
 
+@dataclass(slots=True)
+class ReleaseRun:
+    """Nobody waits for the run any more, and it cannot be cancelled. It counts as ended now if it may never
+    have started, or may wait for ever."""
+
+    exchange: Exchange
+
+
 @dataclass(slots=True)
 class Deny:
     """Answer the caller that the exchange was denied and has not run, or may be run again without harm."""
@@ -263,6 +271,7 @@
 Operation = (
     Start
     | Cancel
+    | ReleaseRun
     | Deny
     | Fail
     | Call
--- a/myrtlecrank/simulator_adapter/host.py
+++ b/myrtlecrank/simulator_adapter/host.py
@@ -49,6 +49,8 @@
         elif isinstance(operation, interface.Deny | interface.Fail):
             retry_after = operation.retry_after if isinstance(operation, interface.Deny) else 0.0
             self._mark_answered(operation.exchange, True, retry_after)
+        if isinstance(operation, interface.ReleaseRun):
+            return  # the simulator loses no command, so each run reports its end
         self.replies.append(protocol.encode_operation(operation, self.number, self.numbers.__getitem__))
 
     def _mark_answered(self, exchange: interface.Exchange, has_failed: bool, retry_after: float) -> None:
--- a/rig/agent_link.py
+++ b/rig/agent_link.py
@@ -363,7 +363,9 @@
             lambda exchange_id: exchange_id in self.answers or exchange_id in self.abandoned,
         )
         self.link = Link(self.clock, self.scenario, self.agent, self._post)
-        self.agent_hears_of_ends = self.random.random() < 0.5  # it ends runs at calls of what is over
+        # Whether the agent ends runs that wait at a call of an exchange that is over.
+        can_cancel = self.scenario.cancellation is not Cancellation.NONE
+        self.agent_hears_of_ends = not can_cancel or self.random.random() < 0.5
 
     def _settings(self, seed: int) -> ControllerSettings:
         groups = [
--- a/tests/test_agent_link_loss.py
+++ b/tests/test_agent_link_loss.py
@@ -239,3 +239,74 @@
 def test_a_mutating_start_that_is_sent_twice_is_found_by_the_play(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(actor, "recovery_step", lambda entry, _: recovery_step(entry, is_repeatable=True))
     assert violated_seeds("ran_twice")
+
+
+@pytest.mark.parametrize("kind", [EffectKind.DEDUPLICATED, EffectKind.MUTATING])
+@pytest.mark.parametrize("cancellation", list(Cancellation))
+def test_a_lost_start_whose_caller_has_left_is_ended_when_its_exchange_is_due(
+    kind: EffectKind, cancellation: Cancellation
+) -> None:
+    """Guards against a run that never started and keeps its room, and health that stays bad, for ever."""
+    harness = CoreHarness(group(kind), cancellation=cancellation)
+    request = harness.submit(EXCHANGE, 0.0)
+    harness.process_batch(5.0, AgentDisconnected(CloseReason.RESET_BY_PEER))
+    harness.process_batch(10.0, ExchangesAbandoned([request]))
+    harness.process_batch(30.0, AgentConnected(False, 1030.0))
+    answer_samples(harness, 40.0, 3800.0)
+    assert harness.core.entries_by_id
+    answer_samples(harness, 3850.0, 4200.0)
+    controller = harness.core.controller
+    assert controller is not None
+    assert not harness.core.entries_by_id and not harness.core.entries_by_exchange and not controller.running
+    answer_samples(harness, 4250.0, 20_000.0)
+    assert harness.core.published.healthy and controller.used_kb <= controller.key_kb
+
+
+@pytest.mark.parametrize("kind", [EffectKind.DEDUPLICATED, EffectKind.MUTATING])
+@pytest.mark.parametrize("cancellation", list(Cancellation))
+def test_a_run_in_doubt_whose_caller_has_left_is_ended_when_its_exchange_is_due(
+    kind: EffectKind, cancellation: Cancellation
+) -> None:
+    """The same where the end of its call may have been lost."""
+    harness = LinkHarness(kind, cancellation=cancellation)
+    harness.end_call(50.0)
+    harness.reconnect(60.0)
+    harness.process_batch(70.0, ExchangesAbandoned([harness.request]))
+    answer_samples(harness, 100.0, 4000.0)
+    for command in harness.commands(CancelRun):
+        harness.process_batch(4001.0, RunEnded(command.exchange_id, Outcome.CANCELLED, 1.0, b""))
+    controller = harness.core.controller
+    assert controller is not None
+    assert not harness.core.entries_by_id and not controller.running and not harness.answers
+
+
+@pytest.mark.parametrize("kind", list(EffectKind))
+def test_a_lost_start_that_cannot_be_cancelled_is_ended_when_its_exchange_is_due(kind: EffectKind) -> None:
+    """No caller has to leave for it where the site cannot cancel; the link may be away at that time too."""
+    harness = CoreHarness(group(kind), cancellation=Cancellation.NONE)
+    harness.submit(EXCHANGE, 0.0)
+    harness.process_batch(5.0, AgentDisconnected(CloseReason.RESET_BY_PEER))
+    harness.process_batch(4000.0)
+    assert [a.verdict for a in harness.answers] == [Verdict.TERMINATED] and not harness.core.entries_by_id
+
+
+def test_a_run_that_cannot_be_cancelled_is_ended_if_its_start_turns_out_to_be_lost_after_it_is_due() -> None:
+    harness = CoreHarness(group(EffectKind.MUTATING), cancellation=Cancellation.NONE)
+    harness.submit(EXCHANGE, 0.0)
+    harness.process_batch(4000.0)
+    assert len(harness.answers) == 1 and harness.core.entries_by_id  # it may run, as far as is known
+    harness.process_batch(4005.0, AgentDisconnected(CloseReason.RESET_BY_PEER))
+    harness.process_batch(4010.0, AgentConnected(False, 60_000.0))
+    answer_samples(harness, 4020.0, 4200.0)
+    assert not harness.core.entries_by_id and len(harness.answers) == 1
+
+
+def answer_samples(harness: CoreHarness, start: float, end: float) -> None:
+    """Lets time pass; the agent answers each sample, and reports nothing else."""
+    read = 0
+    now = start
+    while now <= end:
+        tags = [c.tag for c in harness.sent_commands[read:] if isinstance(c, SampleGauges)]
+        read = len(harness.sent_commands)
+        harness.process_batch(now, *(GaugesSampled(tag, Gauges(0.0, 0.0, 0.0, 1.0)) for tag in tags))
+        now += 50.0
