Each returned sample confirms the commands before it, also one later than its tick

Cause: `_gauges_sampled` counted a sample as proof of what the agent had received only under the tag of the newest tick. On a link with a round trip of a tick (100 ms) or more none ever has it, so every command stays in doubt. In the entries looked at, the number of the cancellation stood under those of samples that had come back long before. Change: a sample of the present connection counts by its number; numbers of earlier connections and tags that are none of ours do not.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -64,6 +64,7 @@
 PROVEN_NOT_EXECUTED = (Outcome.NOT_STARTED, Outcome.UNREACHED)
 RESYNC_TAG = "m"  # a sample's tag is one of these letters and the number of the command
 TICK_TAG = "b"
+MAX_TAG_DIGITS = 18
 TimerCallback = Callable[[], object]
 
 CLOCK_OFFSET_MS = time.time() * 1000.0 - time.monotonic() * 1000.0
@@ -121,6 +122,9 @@
         self.resync_tag: str | None = None
         self.tick_tag: str | None = None
         self.last_received_command = 0  # number of the last command that the agent has certainly received
+        # Numbers of the commands at the start of the connection, and of the last sample asked for on it.
+        self.connected_at_command = 0
+        self.last_sample_command = 0
         self.entries_with_conflicts: dict[ExchangeEntry, None] = {}
         # Running entries whose start commands were not sent, or may have been lost.
         self.entries_in_doubt: dict[ExchangeEntry, None] = {}
@@ -199,6 +203,7 @@
 
     def _agent_connected(self, cold: bool, uptime: float, restarted: bool) -> None:
         self.agent_connected = True
+        self.connected_at_command = self.last_sample_command = self.next_number()
         if self.controller is not None:
             if restarted:
                 self._agent_restarted(self.controller, cold, uptime)
@@ -653,9 +658,18 @@
         """Requests a sample of the gauges, if the agent is connected. Returns its tag."""
         number = self.next_number()
         if self.agent_connected:
+            self.last_sample_command = number
             self.send_to_agent(SampleGauges(f"{kind}{number}"))
         return f"{kind}{number}"
 
+    def _sample_number(self, tag: str) -> int | None:
+        """The number of the sample command with this tag, if it was sent on the present connection."""
+        digits = tag[1:]
+        if not (digits.isascii() and digits.isdigit() and len(digits) <= MAX_TAG_DIGITS):
+            return None
+        number = int(digits)
+        return number if self.connected_at_command < number <= self.last_sample_command else None
+
     def _tick(self) -> None:
         if self.controller is not None:
             self.published.tick_delay = max(0.0, self.now - self.alarm_due)
@@ -670,9 +684,11 @@
             self._add_timer(self.now + IDLE_TICK_MS, self._tick_until_start)
 
     def _gauges_sampled(self, tag: str, gauges: Gauges, timed_out: bool = False) -> None:
-        if not timed_out and tag in (self.resync_tag, self.tick_tag):
-            # The agent reads commands in order: it has received all that were sent before this one.
-            self.last_received_command = int(tag[1:])
+        number = None if timed_out else self._sample_number(tag)
+        if number is not None:
+            # The agent reads commands in order: it has received all that were sent before this one. A sample
+            # that is too late for its tick tells this too, or a slow link would never confirm anything.
+            self.last_received_command = number
             for entry in list(self.entries_with_conflicts):
                 self._decide_conflicts(entry)
             for entry in list(self.entries_in_doubt):
--- a/rig/agent_link.py
+++ b/rig/agent_link.py
@@ -75,7 +75,7 @@
         """Draws a scenario: quick and slow links, rare and frequent breaks, with and without cancellation."""
         return LinkScenario(
             command_delay_ms=random.choice([0.3, 5.0, 15.0, 50.0]),
-            notice_delay_ms=random.choice([0.3, 5.0, 15.0, 50.0]),
+            notice_delay_ms=random.choice([0.3, 5.0, 15.0, 50.0, 120.0]),
             break_interval_ms=random.choice([200.0, 500.0, 2000.0]),
             reconnect_ms=random.choice([20.0, 20.0, 250.0]),
             failed_calls=random.choice([0.0, 0.1, 0.4]),
--- a/tests/test_agent_link_loss.py
+++ b/tests/test_agent_link_loss.py
@@ -34,15 +34,6 @@
 
 EXCHANGE = "aa"
 SEEDS = range(40)
-RULES_OF_RUNS = (
-    "unanswered",
-    "late",
-    "answered_twice",
-    "ran_twice",
-    "denied_after_run",
-    "continued_wrongly",
-    "completed_wrongly",
-)
 
 
 class LinkHarness(CoreHarness):
@@ -219,8 +210,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_runs_get_the_results_of_their_own_calls_over_a_link_that_breaks(seed: int) -> None:
     """Drawn delays, breaks, failed calls and callers that leave; before the fix 34 of 100 seeds failed."""
-    violations = agent_link.play(seed).violations()
-    assert not {rule: number for rule, number in violations.items() if rule in RULES_OF_RUNS}
+    assert not agent_link.play(seed).violations()
 
 
 def violated_seeds(rule: str) -> list[int]:
@@ -301,6 +291,23 @@
     assert not harness.core.entries_by_id and len(harness.answers) == 1
 
 
+def test_samples_that_return_after_the_next_tick_confirm_commands_too() -> None:
+    """Guards against commands that stay in doubt for ever on a link with a round trip of over a tick."""
+    harness = CoreHarness(group(EffectKind.MUTATING))
+    harness.submit(EXCHANGE, 0.0)
+    for now in range(100, 600, 100):
+        harness.process_batch(float(now))
+    first, second, _ = [command.tag for command in harness.commands(SampleGauges)][-3:]
+    harness.process_batch(501.0, GaugesSampled(first, Gauges()))
+    harness.process_batch(502.0, AgentDisconnected(CloseReason.RESET_BY_PEER))
+    assert not harness.core.entries_in_doubt
+    harness.process_batch(503.0, AgentConnected(False, 60_000.0))
+    confirmed = harness.core.last_received_command
+    for tag in (second, "b", "bx", "b\u00b2", "b" + "9" * 5000, f"b{10**15}"):
+        harness.process_batch(504.0, GaugesSampled(tag, Gauges()))
+    assert harness.core.last_received_command == confirmed
+
+
 def answer_samples(harness: CoreHarness, start: float, end: float) -> None:
     """Lets time pass; the agent answers each sample, and reports nothing else."""
     read = 0
