Votes for a call of an earlier start of a member count for none of the new one

Cause: VoterReply names call and round, and each start numbered its calls from 1 (fleet/register/calls.py). A voter held up by its disk answers the earlier start's request after the new one has connected; links know members by name, so that vote is taken as a grant for another key and ballot. Change: the numbers of a start's calls begin at one that comes from its unique identity. Shown: the forced test fails before (the new start goes on to its second round on votes for the old one's request).

--- a/myrtlecrank/fleet/member.py
+++ b/myrtlecrank/fleet/member.py
@@ -89,7 +89,7 @@
         self.membership = Membership(local, seeds, config.membership_timing, random, now)
         self.proposer = Proposer(self.owner_id, configured_voter_set(config.voters), random)
         self.register_calls = Calls(
-            config.register_reply_ms, lambda to, request: self.outgoing.append((to, request))
+            config.register_reply_ms, lambda to, request: self.outgoing.append((to, request)), self.owner_id
         )
         self.random = random
         self.announced_voter_set = self.proposer.voter_set  # the newest that the other members were sent
--- a/myrtlecrank/fleet/register/calls.py
+++ b/myrtlecrank/fleet/register/calls.py
@@ -9,11 +9,15 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
+import xxhash
+
 from myrtlecrank.fleet.messages import Message, VoterReply, VoterRequest
 from myrtlecrank.fleet.register.caspaxos import Pause, Round, Voter
 from myrtlecrank.fleet.register.messages import Rejoin, RejoinAnswer, Vote, VoterSetNotice
 from myrtlecrank.fleet.register.voter_set import UNKNOWN_VOTER_SET
 
+CALL_NUMBER_BITS = 31  # for the calls of one start; the bits above them tell the starts apart
+
 T = TypeVar("T")
 VoterMessage = VoterRequest | Rejoin | RejoinAnswer | VoterSetNotice  # the messages to a voter
 ProposerCall = Generator[Round | Pause, list[Vote], T]
@@ -66,19 +70,23 @@
 
 
 class Calls:
-    """The calls under way of one process.
+    """The calls under way of one start of a process.
 
     `reply_timeout_ms` bounds each round; the attempts of its proposer bound a call. `send` sends a message to
-    a voter."""
+    a voter. `start_id` names this start among all of the process: a voter that is slow answers an earlier
+    start only after this one has connected, and that answer must fit none of this start's calls."""
 
     def __init__(
-        self, reply_timeout_ms: float, send: Callable[[str, VoterRequest | VoterSetNotice], None]
+        self,
+        reply_timeout_ms: float,
+        send: Callable[[str, VoterRequest | VoterSetNotice], None],
+        start_id: str = "",
     ) -> None:
         self.reply_timeout_ms = reply_timeout_ms
         self.send = send
         self.pending: dict[int, PendingCall] = {}
         self.newest_voter_set = UNKNOWN_VOTER_SET  # of those under which requests were made
-        self.last_call_number = 0
+        self.last_call_number = xxhash.xxh32_intdigest(start_id.encode()) << CALL_NUMBER_BITS
 
     def start(self, call: ProposerCall[T], on_done: Callable[[T, float], None], now: float) -> None:
         """Starts a call; `on_done` gets its result and the time at which it ended."""
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -12,6 +12,7 @@
 from myrtlecrank.fleet.member import FleetConfig, FleetMember
 from myrtlecrank.fleet.membership.messages import MemberUpdate, State
 from myrtlecrank.fleet.membership.swim import MembershipTiming
+from myrtlecrank.fleet.messages import VoterReply, VoterRequest
 from myrtlecrank.fleet.options import DutyOptions, FleetOptions, apply_reloadable, unapplied_options
 from myrtlecrank.fleet.ownership.lease import (
     Duty,
@@ -23,7 +24,7 @@
     decode_lease,
     rebalance,
 )
-from myrtlecrank.fleet.register.messages import EMPTY_RECORD, Outcome, Record, Result
+from myrtlecrank.fleet.register.messages import EMPTY_RECORD, Outcome, Record, Result, Vote
 from myrtlecrank.fleet.step_scheduler import DutySchedule, Effect, StepScheduler
 from rig.multi_node.ownership_model_check import (
     ModelCheck,
@@ -271,6 +272,33 @@
     return fleet
 
 
+def requests_of(start_id: str) -> tuple[FleetMember, list[VoterRequest]]:
+    """A start of a member with three voters, and its requests for the duty's record."""
+    plan = FleetConfig(("v", "w", "x"), (WORK,), TIMINGS, PACE, 250.0, 3000.0)
+    local = MemberUpdate("a", ("127.0.0.1", 1), "z", 1, State.ALIVE)
+    fleet = FleetMember(local, start_id, {}, plan, lambda: 0.5, 0.0)
+    fleet.tick(5000.0)
+    return fleet, [message for _, message in fleet.outgoing if isinstance(message, VoterRequest)]
+
+
+def test_votes_for_a_call_of_an_earlier_start_count_for_none_of_this_one() -> None:
+    """Guards against a record that is read or written on the votes for another request."""
+    _, earlier = requests_of("1")
+    fleet, own = requests_of("2")
+    assert earlier and own and earlier[0].round == own[0].round
+    fleet.outgoing.clear()
+
+    def reply(request: VoterRequest, voter: str) -> VoterReply:
+        return VoterReply(request.call, request.round, Vote(voter, 0, True))
+
+    for voter in ("v", "w", "x"):
+        fleet.handle(voter, reply(earlier[0], voter), 5001.0)
+    assert fleet.duties["d"].pending_request is not None and not fleet.outgoing
+    for voter in ("v", "w", "x"):
+        fleet.handle(voter, reply(own[0], voter), 5002.0)
+    assert fleet.duties["d"].pending_request is None
+
+
 def test_a_step_waits_until_the_one_before_is_recorded() -> None:
     fleet = owner()
     fleet.tick(20.0)
