--- a/myrtlecrank/fleet/actor.py
+++ b/myrtlecrank/fleet/actor.py
@@ -286,9 +286,12 @@
         outgoing, self.member.outgoing = self.member.outgoing, []
         for to, message in outgoing:
             self.send(to, message)
+        abandoned_duties, self.member.scheduler.abandoned_duties = self.member.scheduler.abandoned_duties, []
+        for name in abandoned_duties:
+            self.step_clients[name].abort()
         effects, self.member.effects = self.member.effects, []
         for effect in effects:
-            gevent.spawn(self._run_effect, effect)
+            self._start_effect(effect)
         for name, state in self.member.membership.state_changes:
             logger.info("fleet member {} is {}", name, state.name.lower())
         self.member.membership.state_changes.clear()
@@ -320,14 +323,14 @@
                 "nothing new is owned"
             )
 
-    def _run_effect(self, effect: Effect) -> None:
+    def _start_effect(self, effect: Effect) -> None:
         duty = self.member.duties[effect.duty]
-        taken = self.step_clients[effect.duty].offer(
+        self.step_clients[effect.duty].start_offer(
             effect,
             is_still_owner=lambda: duty.owns(monotonic_ms()) == effect.epoch,
             remaining_ms=lambda: effect.expires_at - monotonic_ms(),
+            on_finished=lambda effect, taken: self.mailbox.post(EffectFinished(effect, taken)),
         )
-        self.mailbox.post(EffectFinished(effect, taken))
 
     # -- operators
 
--- a/myrtlecrank/fleet/member.py
+++ b/myrtlecrank/fleet/member.py
@@ -338,6 +338,7 @@
                 "seen_ms_ago": round(now - duty.record_seen_at),
                 "here": duty.owns(now) is not None,
                 "heir": lease.successor or None,
+                "failed": self.scheduler.failed_offers.get(name, 0),
             }
 
     # -- the steps of a duty
--- a/myrtlecrank/fleet/step_scheduler.py
+++ b/myrtlecrank/fleet/step_scheduler.py
@@ -67,6 +67,9 @@
         self.duties = duties
         self.max_concurrent = max_concurrent
         self.progress = {name: DutyProgress() for name in self.schedules}
+        # Duties whose running step counts no longer, so that its offer is to be ended; the reader empties it.
+        self.abandoned_duties: list[str] = []
+        self.failed_offers = dict.fromkeys(self.schedules, 0)  # since the start of the process
 
     def due(self) -> float:
         """When a step expires or may start next, as far as time alone decides."""
@@ -95,11 +98,15 @@
                     # to be valid after all, the duty would wait forever for the record of this step.
                     progress.expires_at = None
                     progress.step -= 1
+                    self.abandoned_duties.append(name)
                 continue
             if progress.epoch != epoch:
+                if progress.expires_at is not None:
+                    self.abandoned_duties.append(name)
                 self.progress[name] = progress = DutyProgress(epoch, now, duty.recorded_step())
             if progress.expires_at is not None:
                 if now >= progress.expires_at:
+                    self.abandoned_duties.append(name)
                     self._schedule_retry(schedule, progress, now)
             elif now >= progress.due and duty.recorded_step() >= progress.step:
                 ready.append((progress.due, name))
@@ -135,6 +142,7 @@
         back_off_ms = schedule.back_off_ms * 2.0 ** min(progress.failures, MAX_BACK_OFF_DOUBLINGS)
         progress.due = now + max(back_off_ms, self._idle_ms(schedule, progress, now))
         progress.failures += 1
+        self.failed_offers[schedule.name] += 1
 
     @staticmethod
     def _idle_ms(schedule: DutySchedule, progress: DutyProgress, now: float) -> float:
--- a/rig/multi_node/member.py
+++ b/rig/multi_node/member.py
@@ -208,6 +208,7 @@
         outgoing, fleet.outgoing = fleet.outgoing, []
         for to, message in outgoing:
             self.send(to, message)
+        fleet.scheduler.abandoned_duties.clear()  # an effect takes no time here
         effects, fleet.effects = fleet.effects, []
         for effect in effects:
             self.on_effect(self, effect)
