The record of a duty says how long its lease is, and others wait by that

Cause: the owner counted its lease by its own file, and others the wait before a takeover by theirs (LeaseTimings). Change: the lease in a record carries lease_ms and drift of its owner; others wait by these, with the larger drift. Why it works: each record holds the length of the very lease that it grants.

Test changes: the row of the record on the wire has the two new fields; the model check's wait shorter than the lease comes from a record that states too short a lease now (3 units held, 2 waited, as before), since no file says it any more.

--- a/myrtlecrank/fleet/ownership/lease.py
+++ b/myrtlecrank/fleet/ownership/lease.py
@@ -31,13 +31,23 @@
     `owner` is empty if the last owner released the duty, perhaps in favour of `successor`. `epoch` grows by
     one with each acquisition and never otherwise; `attempt` is new with each attempt to write the record.
     `progress` is the last completed step, from which a new owner continues: it is in the same record as the
-    lease, so that a former owner cannot change it."""
+    lease, so that a former owner cannot change it. `duration_ms` and `drift` are the owner's: others must
+    wait by these, as their own files may differ. A version that did not write them left them at 0."""
 
     owner: str = ""
     epoch: int = 0
     attempt: int = field(default=0, name="turn")
     successor: str = field(default="", name="heir")
     progress: int = 0
+    duration_ms: float = field(default=0.0, name="lease_ms")
+    drift: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Raises ValueError for figures that no owner has; in a record this is a msgspec.ValidationError."""
+        if not 0.0 <= self.duration_ms < math.inf:
+            raise ValueError(f"lease_ms is a finite time, not {self.duration_ms}")
+        if not 0.0 <= self.drift < MAX_DRIFT:
+            raise ValueError(f"drift is a share from 0 to under {MAX_DRIFT}, not {self.drift}")
 
 
 NO_LEASE = Lease()
@@ -60,13 +70,15 @@
 class LeaseTimings:
     """The durations of a lease, in ms, derived once from the operators' options.
 
-    `lease_ms`: from the sending of a successful write to the end of ownership. `takeover_wait_ms`: for how
-    long a record must have stayed unchanged before another member acquires the duty. `renewal_interval_ms`:
+    `lease_ms`: from the sending of a successful write to the end of ownership. `drift`: the largest error of
+    any member's clock rate, as a share. `takeover_wait_ms`: for how long the record of a lease with these
+    timings must have stayed unchanged before another member acquires the duty. `renewal_interval_ms`:
     between renewals by the owner. `poll_interval_ms`: between reads by the members that do not own the duty.
     `stagger_ms`: how much later a member acquires a duty for each duty that it owns already.
     `successor_wait_ms`: for how long the others leave a released duty to its successor."""
 
     lease_ms: float
+    drift: float
     takeover_wait_ms: float
     renewal_interval_ms: float
     poll_interval_ms: float
@@ -77,14 +89,13 @@
     def derive(cls, lease_ms: float, drift: float, poll_interval_ms: float) -> LeaseTimings:
         """The terms for a lease, a drift and an interval between reads.
 
-        `drift` is the largest error of any member's clock rate, as a share. The owner's clock may run slow
-        while another's runs fast, so the wait is longer than the lease by both errors. Raises ValueError if
-        `drift` is out of range."""
+        Raises ValueError if `drift` is out of range."""
         if not 0.0 <= drift < MAX_DRIFT:
             raise ValueError(f"drift is a share from 0 to under {MAX_DRIFT}, not {drift}")
         return cls(
             lease_ms,
-            lease_ms * (1.0 + drift) / (1.0 - drift),
+            drift,
+            takeover_wait_ms(lease_ms, drift),
             lease_ms / RENEWALS_PER_LEASE,
             poll_interval_ms,
             poll_interval_ms / STAGGERS_PER_POLL,
@@ -92,6 +103,14 @@
         )
 
 
+def takeover_wait_ms(lease_ms: float, drift: float) -> float:
+    """How long a record must have stayed unchanged until its owner's lease is certainly over.
+
+    The owner's clock may run slow while another's runs fast, so this is longer than the lease by both
+    errors."""
+    return lease_ms * (1.0 + drift) / (1.0 - drift)
+
+
 @dataclass(frozen=True, slots=True)
 class ReadRecord:
     """A request to read the duty's record.
@@ -208,7 +227,8 @@
 
     def _new_lease(self, owner: str, epoch: int, successor: str, progress: int) -> Lease:
         self.attempts += 1
-        return Lease(owner, epoch, self.attempts, successor, progress)
+        timings = self.timings
+        return Lease(owner, epoch, self.attempts, successor, progress, timings.lease_ms, timings.drift)
 
     def available_at(self, owned_count: int) -> float:
         """From when on this process may acquire the duty if its record stays unchanged."""
@@ -216,11 +236,21 @@
         if self.lease.owner == self.owner_id:
             return self.record_seen_at  # only this very start could own it, and it does not
         if self.lease.owner:
-            return self.record_seen_at + self.timings.takeover_wait_ms + delay
+            return self.record_seen_at + self.takeover_wait() + delay
         if self.lease.successor not in ("", member_of(self.owner_id)):
             return self.record_seen_at + self.timings.successor_wait_ms + delay
         return self.record_seen_at + (0.0 if self.lease.successor else delay)
 
+    def takeover_wait(self) -> float:
+        """For how long (ms) the present record must have stayed unchanged before this process acquires the
+        duty.
+
+        The lease is the owner's, and the larger of both drifts holds. A record without them was written by a
+        version that knew one file for all members."""
+        if not self.lease.duration_ms:
+            return self.timings.takeover_wait_ms
+        return takeover_wait_ms(self.lease.duration_ms, max(self.lease.drift, self.timings.drift))
+
     def request_sent(self, request: ReadRecord | WriteRecord, now: float) -> None:
         """Notes that the request is sent. `now` is read before its first byte leaves: the lease counts from
         then."""
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -81,6 +81,10 @@
     help="For fleet experiments: the fault to inject; 'fence' is a resource that does not check epochs.",
 )
 @click.option("--reseats", is_flag=True, help="For fleet experiments with --virtual: replace voters too.")
+@click.option("--moves", is_flag=True, help="For fleet experiments with --virtual: move duties and back too.")
+@click.option(
+    "--rolls", is_flag=True, help="For fleet experiments with --virtual: roll out other leases too."
+)
 @with_changes
 @OUT
 def play_(
@@ -91,13 +95,20 @@
     virtual: bool,
     bug: str | None,
     reseats: bool,
+    moves: bool,
+    rolls: bool,
     quick: bool,
     out: Path | None,
     **changes: Any,
 ) -> None:
     """Runs one experiment once. The last line on standard output is a JSON object."""
     if name in FLEET_EXPERIMENTS:
-        _play_fleet(name, seed, virtual, bug, reseats, quick, out)
+        events: dict[str, Any] = {
+            "replaces_voters": reseats,
+            "moves_duties": moves,
+            "changes_lease": rolls,
+        }
+        _play_fleet(name, seed, virtual, bug, events, quick, out)
         return
     scene = scene_of(name, off, quick, **changes)
     with Progress(console=Console(stderr=True), transient=True) as bar:
@@ -113,7 +124,13 @@
 
 
 def _play_fleet(
-    name: str, seed: int, virtual: bool, bug: str | None, reseats: bool, quick: bool, out: Path | None
+    name: str,
+    seed: int,
+    virtual: bool,
+    bug: str | None,
+    events: dict[str, Any],
+    quick: bool,
+    out: Path | None,
 ) -> None:
     from rig.multi_node import ownership_experiment
     from rig.multi_node.planted_faults import INJECTED_FAULTS
@@ -122,10 +139,12 @@
     if bug is not None and bug not in known:
         click.echo(f"unknown --bug {bug!r}; expected one of {', '.join(known)}", err=True)
         sys.exit(2)
+    if events["changes_lease"]:
+        events["step_interval_ms"] = ownership_experiment.ROLL_STEP_INTERVAL_MS
     try:
         if virtual:
             scene = ownership_experiment.Scenario(
-                length_ms=30_000.0 if quick else 60_000.0, fence=bug != "fence", replaces_voters=reseats
+                length_ms=30_000.0 if quick else 60_000.0, fence=bug != "fence", **events
             )
             one = ownership_experiment.play(seed, scene, INJECTED_FAULTS.get(bug or ""))
         else:
--- a/rig/multi_node/ownership_experiment.py
+++ b/rig/multi_node/ownership_experiment.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import pairwise
 from typing import Any
 
@@ -17,6 +17,7 @@
 from rig.multi_node.checkers import MajorityOutages, Resource, max_concurrent_actors
 from rig.multi_node.environment import SimulatedEnvironment
 from rig.multi_node.member import Member, newest_voter_set
+from rig.multi_node.receiver_link import ReceiverLink
 
 CLOCK_DRIFT = 0.01
 ZONES = 3
@@ -52,6 +53,16 @@
 MIN_FAULT_MS = 200.0
 MAX_FAULT_LEASES = 3.0
 RESEAT_WEIGHT = 8  # entries of "reseat" beside those of FAULTS
+MOVE_WEIGHT = 16  # the same for "move-and-back"
+ROLL_WEIGHT = 3  # the same for "roll-lease"
+LEASE_FACTORS = (0.25, 0.5, 2.0, 4.0)  # of Scenario.lease_ms, in a changed file
+ROLL_INTERVAL_LEASES = 4.0  # between the restarts of two members, in the longest lease of both files
+ROLL_DOWN_MS = 300.0
+ROLL_STEP_INTERVAL_MS = 1500.0  # each step renews the lease, so that frequent ones would hide its length
+MOVE_BACK_AFTER_MS = (20.0, 150.0)  # after the move
+LONG_STEP_SHARE = 0.1  # of the steps, while duties are moved
+LONG_STEP_MS = (200.0, 390.0)  # within STEP_DEADLINE_MS
+BUSY_SHARE = 0.15  # of the offers that are answered false, while duties are moved
 MIN_SLOW_LINK_DELAY_MS = 50.0
 MAX_SLOW_LINK_DELAY_LEASES = 1.5
 DRAIN_MS = 400.0  # from the start of a drain to the end of the process
@@ -82,6 +93,8 @@
     lease_ms: float = 600.0
     poll_interval_ms: float = 0.0  # of the fleet monitor; 0: off
     replaces_voters: bool = False  # inject changes of the voters too
+    moves_duties: bool = False  # move duties away and back during a step, with a receiver that may be busy
+    changes_lease: bool = False  # restart all members one by one with another lease
     fence: bool = True  # of the resource; off only to test that late effects are detected
 
 
@@ -169,6 +182,8 @@
         timings = self.config.lease_timings
         self.outages = MajorityOutages(timings.takeover_wait_ms + 2.0 * timings.poll_interval_ms)
         self.voters_changed = 0
+        self.receiver_links: dict[tuple[str, str], ReceiverLink] = {}  # by owner and duty
+        self.aborts_offers = True  # a new offer of a duty ends the one under way
         if inject_fault is not None:
             inject_fault(self)
         for member in self.members:
@@ -192,18 +207,59 @@
 
     def send_effect(self, member: Member, effect: Effect) -> None:
         """Sends an effect to the resource, which sends its answer back."""
-        owner = member.fleet.owner_id
+        environment, owner = self.environment, member.fleet.owner_id
+        if self.scenario.moves_duties:
+            self._offer_over_link(member, owner, effect)
+            return
 
         def arrive() -> None:
-            taken = self.resource.offer(self.environment.now, owner, effect)
-            self.environment.transmit(
+            taken = self.resource.offer(environment.now, owner, effect)
+            environment.transmit(
                 "resource",
                 member.name,
                 EFFECT_ANSWER_BYTES,
                 lambda: self.deliver_answer(member, owner, effect, taken),
             )
 
-        self.environment.transmit(member.name, "resource", EFFECT_BYTES, arrive)
+        environment.transmit(member.name, "resource", EFFECT_BYTES, arrive)
+
+    def _offer_over_link(self, member: Member, owner: str, effect: Effect) -> None:
+        """Offers an effect over the connection of its duty, to a resource that is busy or slow at times."""
+        environment, random = self.environment, self.environment.random
+        link = self._open_receiver_link(member, owner, effect)
+        number = link.offer_count
+
+        def send_answer(taken: bool) -> None:
+            def arrive() -> None:
+                link.answer(number, taken)
+
+            environment.transmit("resource", member.name, EFFECT_ANSWER_BYTES, arrive)
+
+        def arrive() -> None:
+            if random.random() < BUSY_SHARE:
+                send_answer(False)
+                return
+            taken = self.resource.offer(environment.now, owner, effect)
+            delay_ms = random.uniform(*LONG_STEP_MS) if random.random() < LONG_STEP_SHARE else 0.0
+            environment.schedule(environment.now + delay_ms, lambda: send_answer(taken))
+
+        environment.transmit(member.name, "resource", EFFECT_BYTES, arrive)
+
+    def _open_receiver_link(self, member: Member, owner: str, effect: Effect) -> ReceiverLink:
+        """Returns the connection for an offer. One with an offer under way is closed first."""
+        key = (owner, effect.duty)
+        link = self.receiver_links.get(key)
+        if link is not None and link.reader is not None and self.aborts_offers:
+            link.is_open = False
+        if link is None or not link.is_open:
+            link = self.receiver_links[key] = ReceiverLink(
+                lambda offered, taken: self.deliver_answer(member, owner, offered, taken)
+            )
+        opened = link
+        opened.offer(effect)
+        expires_at = member.host.true_time(effect.expires_at)
+        self.environment.schedule(expires_at, lambda: opened.expire(effect))
+        return opened
 
     def deliver_answer(self, member: Member, owner: str, effect: Effect, taken: bool) -> None:
         """Passes the resource's answer to the member, unless it has restarted since it sent the effect."""
@@ -273,8 +329,7 @@
         if environment.now > self.scenario.length_ms - FAULTLESS_END_MS:
             return
         member = random.choice(self.members)
-        kinds = FAULTS + ("reseat",) * RESEAT_WEIGHT if self.scenario.replaces_voters else FAULTS
-        kind = random.choice(kinds)
+        kind = random.choice(self._fault_kinds())
         duration_ms = random.uniform(MIN_FAULT_MS, MAX_FAULT_LEASES * self.scenario.lease_ms)
         others = [other for other in self.members if other is not member]
         # The method of a fault has its name, after an underscore.
@@ -283,6 +338,48 @@
         next_fault_at = environment.now + random.expovariate(1.0 / self.scenario.fault_interval_ms)
         environment.schedule(next_fault_at, self.inject_next_fault)
 
+    def _fault_kinds(self) -> tuple[str, ...]:
+        scenario = self.scenario
+        return (
+            FAULTS
+            + ("reseat",) * (RESEAT_WEIGHT * scenario.replaces_voters)
+            + ("move-and-back",) * (MOVE_WEIGHT * scenario.moves_duties)
+            + ("roll-lease",) * (ROLL_WEIGHT * scenario.changes_lease)
+        )
+
+    def _move_and_back(self, member: Member, _: list[Member], __: float) -> None:
+        """Moves a duty to another member, as an operator would, and soon after back."""
+        owned = member.fleet.owned(member.host.clock()) if self._is_running(member) else []
+        if not owned or not member.fleet.step_down(owned[0]):
+            return
+        duty_name = owned[0]
+        successor = member.fleet.duties[duty_name].successor
+        member.tick()
+
+        def move_back() -> None:
+            for other in self.members:
+                if other.name == successor and self._is_running(other):
+                    other.fleet.duties[duty_name].release(member.name)
+                    other.tick()
+
+        delay_ms = self.environment.random.uniform(*MOVE_BACK_AFTER_MS)
+        self.environment.schedule(self.environment.now + delay_ms, move_back)
+
+    def _roll_lease(self, _: Member, __: list[Member], ___: float) -> None:
+        """Changes the lease in the operators' file, and restarts all members one by one."""
+        environment = self.environment
+        lease_ms = self.scenario.lease_ms * environment.random.choice(LEASE_FACTORS)
+        timings = LeaseTimings.derive(lease_ms, CLOCK_DRIFT, lease_ms / POLLS_PER_LEASE)
+        before_ms = max(member.config.lease_timings.lease_ms for member in self.members)
+        interval_ms = ROLL_INTERVAL_LEASES * max(lease_ms, before_ms)
+        for number, member in enumerate(self.members):
+
+            def restart(member: Member = member) -> None:
+                member.config = replace(member.config, lease_timings=timings)
+                self._leave(member, [], ROLL_DOWN_MS)
+
+            environment.schedule(environment.now + number * interval_ms, restart)
+
     def _restart_after(self, member: Member, down_ms: float) -> None:
         self.environment.schedule(
             self.environment.now + down_ms, lambda: member.start() if not member.host.is_up else None
--- a/rig/multi_node/ownership_model_check.py
+++ b/rig/multi_node/ownership_model_check.py
@@ -5,7 +5,8 @@
 and never chosen. An event is one of: time advances by a unit, a member sends a call, the register executes a
 call, an answer arrives, or a call times out. A paused member is one without events while time advances. The
 clocks run at equal rates; a wait longer than the lease stands for their drift: a lease of 3 units and a wait
-of 4 allow for a seventh each."""
+of 4 allow for a seventh each. The members may have unlike timings, as while their files are changed one after
+the other."""
 
 from __future__ import annotations
 
@@ -14,17 +15,21 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from msgspec.structs import replace as replace_lease
+
 from myrtlecrank.fleet.ownership.lease import Duty, Lease, LeaseTimings, ReadRecord, WriteRecord
 from myrtlecrank.fleet.register.messages import EMPTY_RECORD, Outcome, Record, Result
 
 TIMINGS = LeaseTimings(
     lease_ms=3.0,
+    drift=1 / 7,
     takeover_wait_ms=4.0,
     renewal_interval_ms=1.0,
     poll_interval_ms=1.0,
     stagger_ms=0.0,
     successor_wait_ms=2.0,
 )
+SHORTER_TIMINGS = replace(TIMINGS, lease_ms=1.5, takeover_wait_ms=2.0)
 NAMES = ("a/1", "b/1")
 MAX_RELATIVE_UNITS = 20.0  # longer than every wait: times further from now make no difference
 
@@ -76,12 +81,12 @@
 
 
 class ModelCheck:
-    """The search. `inject_fault` changes each duty before it."""
+    """The search. `timings` are those of the two members; `inject_fault` changes each duty before it."""
 
     def __init__(
         self,
         depth: int,
-        timings: LeaseTimings = TIMINGS,
+        timings: tuple[LeaseTimings, LeaseTimings] = (TIMINGS, TIMINGS),
         inject_fault: Callable[[Duty], None] | None = None,
     ) -> None:
         self.depth = depth
@@ -95,7 +100,7 @@
     def run(self, owned: bool = False) -> ModelCheck:
         """Searches from a duty without owner; or, with `owned`, from one that the first member has just
         acquired and the second has read."""
-        duties = tuple(Duty("d", name, self.timings) for name in NAMES)
+        duties = tuple(Duty("d", name, own) for name, own in zip(NAMES, self.timings, strict=True))
         if self.inject_fault is not None:
             for duty in duties:
                 self.inject_fault(duty)
@@ -263,4 +268,30 @@
     """A duty with the fault `reuses_attempt_numbers`."""
 
     def _new_lease(self, owner: str, epoch: int, successor: str, progress: int) -> Lease:
-        return Lease(owner, epoch, 1, successor, progress)
+        return replace_lease(super()._new_lease(owner, epoch, successor, progress), attempt=1)
+
+
+def writes_a_shorter_lease(duty: Duty) -> None:
+    """Writes a lease of 1.5 units into the record, for which others wait 2, and counts its own."""
+    duty.__class__ = WritesAShorterLease
+
+
+class WritesAShorterLease(Duty):
+    """A duty with the fault `writes_a_shorter_lease`."""
+
+    def _new_lease(self, owner: str, epoch: int, successor: str, progress: int) -> Lease:
+        lease = super()._new_lease(owner, epoch, successor, progress)
+        return replace_lease(lease, duration_ms=SHORTER_TIMINGS.lease_ms)
+
+
+def waits_by_its_own_file(duty: Duty) -> None:
+    """Waits for its own lease and not for that in the record."""
+    duty.__class__ = WaitsByItsOwnFile
+
+
+class WaitsByItsOwnFile(Duty):
+    """A duty with the fault `waits_by_its_own_file`."""
+
+    def takeover_wait(self) -> float:
+        """The wait after a lease of this member."""
+        return self.timings.takeover_wait_ms
--- a/rig/multi_node/planted_faults.py
+++ b/rig/multi_node/planted_faults.py
@@ -7,7 +7,9 @@
 from functools import partial
 from typing import Any
 
-from myrtlecrank.fleet.ownership.lease import Lease, WriteRecord
+from msgspec.structs import replace
+
+from myrtlecrank.fleet.ownership.lease import WriteRecord
 from myrtlecrank.fleet.register.disk import encode
 from myrtlecrank.fleet.register.messages import Memory
 from myrtlecrank.fleet.register.voter_set import founding_voter_set
@@ -69,8 +71,7 @@
             request = original(now, is_eligible, owned)
             if isinstance(request, WriteRecord) and duty.epoch is None and request.lease.owner:
                 lease = request.lease
-                first_epoch = Lease(lease.owner, 1, lease.attempt, lease.successor, lease.progress)
-                return WriteRecord(request.expected, first_epoch)
+                return WriteRecord(request.expected, replace(lease, epoch=1))
             return request
 
         return next_request
@@ -104,8 +105,20 @@
         replace_method(member, "start", make)
 
 
+def wait_by_own_file(simulation: Simulation) -> None:
+    """Waits after a lease for as long as the waiting member's own file says."""
+    _replace_duty_method(simulation, "takeover_wait", lambda duty, _: lambda: duty.timings.takeover_wait_ms)
+
+
+def shared_connection(simulation: Simulation) -> None:
+    """Lets two offers of a duty use one connection at once."""
+    simulation.aborts_offers = False
+
+
 INJECTED_FAULTS: dict[str, Callable[[Simulation], None]] = {
     "wall-time": wall_time,
     "epoch-from-memory": epoch_from_memory,
     "no-look-on-waking": no_look_on_waking,
+    "wait-by-own-file": wait_by_own_file,
+    "shared-connection": shared_connection,
 }
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from itertools import pairwise
 
+import msgspec
 import pytest
 
 from myrtlecrank.fleet.member import FleetConfig, FleetMember
@@ -27,11 +28,15 @@
 from myrtlecrank.fleet.register.messages import EMPTY_RECORD, Outcome, Record, Result, Vote
 from myrtlecrank.fleet.step_scheduler import DutySchedule, Effect, StepScheduler
 from rig.multi_node.ownership_model_check import (
+    SHORTER_TIMINGS,
     ModelCheck,
     lease_counts_from_answer,
     reuses_attempt_numbers,
     trusts_unverified_reads,
+    waits_by_its_own_file,
+    writes_a_shorter_lease,
 )
+from rig.multi_node.ownership_model_check import TIMINGS as TIMINGS_OF_CHECK
 
 TIMINGS = LeaseTimings.derive(1000.0, 0.01, 250.0)
 
@@ -493,4 +498,58 @@
 
 
 def test_the_model_check_finds_a_wait_shorter_than_the_lease() -> None:
-    assert ModelCheck(12, LeaseTimings(3.0, 2.0, 1.0, 1.0, 0.0, 2.0)).run(owned=True).violations
+    assert ModelCheck(12, inject_fault=writes_a_shorter_lease).run(owned=True).violations
+
+
+UNLIKE_FILES = [(TIMINGS_OF_CHECK, SHORTER_TIMINGS), (SHORTER_TIMINGS, TIMINGS_OF_CHECK)]
+
+
+@pytest.mark.parametrize("timings", UNLIKE_FILES)
+def test_no_order_of_events_gives_a_duty_two_owners_while_two_files_are_in_force(
+    timings: tuple[LeaseTimings, LeaseTimings],
+) -> None:
+    """Guards against two owners while members are started again one by one with another lease_ms."""
+    model_check = ModelCheck(12, timings).run(owned=True)
+    assert not model_check.violations and model_check.owners == {"a/1", "b/1"}
+
+
+def test_the_model_check_finds_a_member_that_waits_by_its_own_file() -> None:
+    assert ModelCheck(12, UNLIKE_FILES[0], waits_by_its_own_file).run(owned=True).violations
+
+
+def test_others_wait_for_the_lease_and_the_larger_drift_of_both_files() -> None:
+    duty = Duty("d", "a/1", LeaseTimings.derive(1000.0, 0.05, 250.0))
+    for lease, wait_ms in (
+        (Lease("b/1", 1, 1, "", 0, 20_000.0, 0.01), 20_000.0 * 1.05 / 0.95),
+        (Lease("b/1", 1, 1, "", 0, 200.0, 0.2), 200.0 * 1.2 / 0.8),
+        (Lease("b/1", 1, 1), 1000.0 * 1.05 / 0.95),  # by a version that did not write them
+    ):
+        duty.lease = lease
+        assert math.isclose(duty.takeover_wait(), wait_ms)
+
+
+@pytest.mark.parametrize(
+    "figures",
+    [{"lease_ms": -1.0}, {"lease_ms": math.inf}, {"lease_ms": math.nan}, {"drift": 0.5}, {"drift": math.nan}],
+)
+def test_a_record_with_impossible_figures_is_left_as_it_is(figures: dict[str, float]) -> None:
+    value = {"owner": "b/1", "epoch": 3, "turn": 1, "heir": "", "progress": 2} | figures
+    duty = Duty("d", "a/1", TIMINGS)
+    duty.request_sent(ReadRecord(False), 0.0)
+    duty.outcome_received(done(Record(1, msgspec.msgpack.encode(value), "b/1:1")), 1.0)
+    assert duty.log_lines == ["its record cannot be read"] and not duty.record_is_known
+    assert duty.next_request(duty.due, True, 0) == ReadRecord(False)
+
+
+def test_a_record_of_the_version_before_is_read_and_its_reader_reads_this_one() -> None:
+    class EarlierLease(msgspec.Struct, frozen=True):
+        owner: str = ""
+        epoch: int = 0
+        turn: int = 0
+        heir: str = ""
+        progress: int = 0
+
+    earlier = EarlierLease("b/1", 3, 9, "c", 17)
+    assert decode_lease(Record(1, msgspec.msgpack.encode(earlier), "w")) == Lease("b/1", 3, 9, "c", 17)
+    raw = msgspec.msgpack.encode(Lease("b/1", 3, 9, "c", 17, 1000.0, 0.01))
+    assert msgspec.msgpack.decode(raw, type=EarlierLease) == earlier
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 from collections import Counter
 from collections.abc import Iterator
@@ -16,7 +17,7 @@
 
 from myrtlecrank.fleet.messages import VERSION, Hello
 from myrtlecrank.fleet.peer_links import encode_frame
-from rig.processes.ownership_experiment import OwnershipRun
+from rig.processes.ownership_experiment import Backend, OwnershipRun
 
 
 def started(run: OwnershipRun) -> Iterator[OwnershipRun]:
@@ -128,6 +129,39 @@
     assert_safety(fleet)
 
 
+def change_options(backend: Backend, **options: int) -> None:
+    """Changes options of [fleet] or of its duties in a member's file."""
+    text = backend.operators_file.read_text()
+    for name, value in options.items():
+        text, count = re.subn(rf"(?m)^{name} = .*$", f"{name} = {value}", text)
+        assert count
+    backend.operators_file.write_text(text)
+
+
+@pytest.mark.parametrize(("before_ms", "after_ms"), [(800, 6400), (6400, 800)])
+def test_one_owner_at_a_time_while_members_restart_with_another_lease(
+    tmp_path: Path, before_ms: int, after_ms: int
+) -> None:
+    """Guards against two owners in a rolling restart: one counts on its longer lease, another waits for its
+    own. The resource takes each step here, so that it sees both."""
+    run = OwnershipRun(3, 3, 3, 2, False, tmp_path, trusted=True)
+    for backend in run.backends.values():
+        change_options(backend, lease_ms=before_ms, every_ms=1500)  # a step writes the record too
+    for _ in started(run):
+        for backend in reversed(run.backends.values()):
+            change_options(backend, lease_ms=after_ms)
+            process = backend.process
+            assert process is not None
+            backend.signal(signal.SIGTERM)
+            run.wait(lambda ended=process: ended.poll() is not None)
+            backend.process = None
+            backend.start()
+            gevent.sleep(5.0)  # several waits of the shorter lease
+        wait_for_steps(run, 2)
+        resource = run.stand_ins.resource
+        assert (resource.owners_at_once(), resource.late_applied) == (1, 0)
+
+
 def test_a_drain_hands_duties_over_without_waiting_for_the_lease(fleet: OwnershipRun) -> None:
     old = fleet.owner("duty-0")
     fleet.backends[old].signal(signal.SIGTERM)
--- a/tests/test_fleet_register.py
+++ b/tests/test_fleet_register.py
@@ -409,7 +409,18 @@
             memory_out | {"roster": roster_out, "seat": "a/1:1", "token": "t"},
         ),
         (version_1, memory_out | {"voters": ["a"]}),
-        (Lease("a/1", 1, 2, "b", 3), {"owner": "a/1", "epoch": 1, "turn": 2, "heir": "b", "progress": 3}),
+        (
+            Lease("a/1", 1, 2, "b", 3, 4.0, 0.5 / 8),
+            {
+                "owner": "a/1",
+                "epoch": 1,
+                "turn": 2,
+                "heir": "b",
+                "progress": 3,
+                "lease_ms": 4.0,
+                "drift": 0.0625,
+            },
+        ),
         (Outcome(Result.UNAVAILABLE, record), {"result": "away", "record": record_out}),
     ]
     for value, expected in written:
--- a/tests/test_fleet_simulation.py
+++ b/tests/test_fleet_simulation.py
@@ -3,11 +3,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from myrtlecrank.fleet.step_scheduler import Effect
 from rig.multi_node.checkers import MajorityOutages, Resource
-from rig.multi_node.ownership_experiment import Scenario, play
+from rig.multi_node.ownership_experiment import ROLL_STEP_INTERVAL_MS, Scenario, play
 from rig.multi_node.planted_faults import INJECTED_FAULTS
 
 
@@ -30,8 +32,17 @@
     assert resource.owners_at_once() == 2 and resource.late_applied == 1
 
 
-# The first seed with which each injected fault is detected.
-DETECTING_SEEDS = {"wall-time": 29, "epoch-from-memory": 1, "no-look-on-waking": 2}
+Events = dict[str, Any]
+ROLLS: Events = {"changes_lease": True, "step_interval_ms": ROLL_STEP_INTERVAL_MS}
+MOVES: Events = {"moves_duties": True}
+# The first seed with which each injected fault is detected, and the events that it takes.
+DETECTING_SEEDS: dict[str, tuple[int, Events]] = {
+    "wall-time": (29, {}),
+    "epoch-from-memory": (1, {}),
+    "no-look-on-waking": (2, {}),
+    "wait-by-own-file": (1, ROLLS),
+    "shared-connection": (22, MOVES),
+}
 
 
 @pytest.mark.parametrize("seed", [1, 5, 16])
@@ -60,9 +71,18 @@
     assert played.figures["late_effects_taken"] > 0 and played.violations
 
 
-@pytest.mark.parametrize(("bug", "seed"), list(DETECTING_SEEDS.items()))
-def test_injected_faults_of_ownership_are_detected(bug: str, seed: int) -> None:
-    assert play(seed, Scenario(length_ms=30_000.0), INJECTED_FAULTS[bug]).violations
+@pytest.mark.parametrize("bug", DETECTING_SEEDS)
+def test_injected_faults_of_ownership_are_detected(bug: str) -> None:
+    seed, events = DETECTING_SEEDS[bug]
+    assert play(seed, Scenario(length_ms=30_000.0, **events), INJECTED_FAULTS[bug]).violations
+
+
+@pytest.mark.parametrize("seed", [3, 22])
+@pytest.mark.parametrize("events", [ROLLS, MOVES])
+def test_one_owner_and_no_lost_step_while_duties_move_and_files_change(seed: int, events: Events) -> None:
+    """A duty that comes back while its step is under way, at a receiver that is busy at times; members
+    restarted one by one with another lease."""
+    assert not play(seed, Scenario(length_ms=30_000.0, **events)).violations
 
 
 def test_one_owner_at_a_time_while_voters_are_replaced() -> None:
