--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -4,7 +4,7 @@
 
 import json
 import os
-import resource
+import queue
 import shutil
 import signal
 import socket
@@ -197,18 +197,14 @@
     def start(self, name: str, descriptors: int | None = None) -> subprocess.Popen[bytes]:
         """Starts a backend by the deploy file's line `run`. `descriptors`: the platform's limit on them."""
 
-        def limit() -> None:
-            if descriptors is not None:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
-
+        limit = "" if descriptors is None else f"ulimit -n {descriptors}; "
         log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115 - the process writes to it
         process = subprocess.Popen(
-            ["/bin/sh", "-c", RUN_COMMAND],
+            ["/bin/sh", "-c", limit + RUN_COMMAND],
             cwd=ROOT,
             env=self.environment(name),
             stdout=log,
             stderr=log,
-            preexec_fn=limit,
         )
         log.close()
         self.processes[name] = process
@@ -494,3 +490,56 @@
         "p": "0.5",
         **more,
     }
+
+
+class DelayProxy:
+    """Takes the place of one address and delays all bytes by `delay_s`, in both directions. `on_forward` is
+    told the bytes of the connecting side right after they were passed on. Nothing is lost."""
+
+    def __init__(
+        self, target: str, delay_s: float, on_forward: Callable[[bytes], None] | None = None
+    ) -> None:
+        host, port = target.split(":")
+        self.target = (host, int(port))
+        self.delay_s, self.on_forward = delay_s, on_forward
+        self.listener = listener()
+        self.address = address(self.listener)
+        accept_all(self.listener, self._serve)
+
+    def _serve(self, near: socket.socket) -> None:
+        far = socket.create_connection(self.target, timeout=5)
+        far.settimeout(None)
+        far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        back = in_thread(self._carry, far, near, None)
+        self._carry(near, far, self.on_forward)
+        back.join()
+        far.close()
+
+    def _carry(
+        self, source: socket.socket, target: socket.socket, hook: Callable[[bytes], None] | None
+    ) -> None:
+        waiting: queue.Queue[tuple[float, bytes]] = queue.Queue()
+
+        def write() -> None:
+            try:
+                while True:
+                    due, data = waiting.get()
+                    time.sleep(max(0.0, due - time.monotonic()))
+                    if not data:
+                        target.shutdown(socket.SHUT_WR)
+                        return
+                    target.sendall(data)
+                    if hook is not None:
+                        hook(data)
+            except OSError:
+                pass
+
+        writer = in_thread(write)
+        data = b"-"
+        while data:
+            try:
+                data = source.recv(65536)
+            except OSError:
+                data = b""
+            waiting.put((time.monotonic() + self.delay_s, data))
+        writer.join()
