Frames are taken in turns, and the loop looks at all sockets between them

Cause: a connection that always has data yielded by gevent.sleep(0) after 16 reads. The loop runs such callbacks up to 50 times before it looks at a socket again. Evidence: a watcher in the loop saw 17 looks at the sockets in 5 s beside one such client, 13 of them 417 to 439 ms apart.

Change: yield_to_io returns after the loop has looked at all sockets; connections get turns of 8 frames, proven callers first, floods only once the loop has nothing else to do. Core yields in the same way between batches. The clocks moved from the core's actor into a module of their own, as the edge needs them.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -5,17 +5,17 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 
-import gevent
 from gevent import get_hub
 from loguru import logger
 
+from myrtlecrank.core.clock import now_ms
 from myrtlecrank.core.connection_errors import OUTCOME_BY_REASON, CloseReason
+from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.exchange_entry import ExchangeEntry
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.core.messages import (
@@ -67,19 +67,6 @@
 MAX_TAG_DIGITS = 18
 TimerCallback = Callable[[], object]
 
-CLOCK_OFFSET_MS = time.time() * 1000.0 - time.monotonic() * 1000.0
-
-
-def unix_ms() -> float:
-    """The system clock in Unix ms. Only for comparison with timestamps of callers."""
-    return time.time() * 1000.0
-
-
-def now_ms() -> float:
-    """Unix time in ms that never steps: the system clock at import, plus monotonic time since then. Due times
-    must not shift when the system clock is set."""
-    return CLOCK_OFFSET_MS + time.monotonic() * 1000.0
-
 
 class Core:
     """The actor that owns the controller. Other actors send to its `mailbox` and read its `published`
@@ -143,7 +130,7 @@
             self._arm_loop_timer()
             self.process_batch(self.mailbox.take(max_count=BATCH_MAX_MESSAGES), now_ms())
             if self.mailbox:
-                gevent.sleep(0)
+                yield_to_io()
 
     def _arm_loop_timer(self) -> None:
         """Wakes this actor when the first timer is due. One timer of the event loop is cheaper than a
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from myrtlecrank.core.actor import unix_ms
+from myrtlecrank.core.clock import unix_ms
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.core.messages import Answer, ExchangeArrived, ExchangeRequest, Verdict
 from myrtlecrank.core.published_state import PublishedState
@@ -74,6 +74,8 @@
         for answer in answers:
             if answer is not None:
                 connection, stream = answer.request.reply_context
+                if answer.verdict is Verdict.COMPLETED:
+                    connection.account.exchange_completed()
                 connection.queue_answer(stream, self._encode(stream, answer))
                 touched[connection] = None
         for connection in touched:
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -10,14 +10,17 @@
 from gevent.event import Event as Flag
 from loguru import logger
 
+from myrtlecrank.core.clock import now_ms
 from myrtlecrank.core.connection_errors import CloseReason, reason_of_error
 from myrtlecrank.core.messages import ExchangeRequest
 from myrtlecrank.core.published_state import PublishedState
+from myrtlecrank.edge.read_account import ReadAccount
+from myrtlecrank.edge.turns import FRAMES_PER_TURN, TurnScheduler
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring_buffer import RingBuffer
 
 READ_BUFFER_BYTES = 2048  # initial size; the buffer grows while more arrives
-READS_PER_TURN = 16  # reads after which the other greenlets get a turn, even if more data is ready
+MAX_DISCARDING_READS = 16
 MAX_UNSENT_BYTES = 4 * codec.MAX_RESULT_BYTES  # what a slow reader may leave unsent before we stop reading it
 STALLED_LIMIT_MS = 5000.0  # a reader that takes nothing for this long is considered gone
 INCOMPLETE_LIMIT_MS = 2000.0  # a frame, including the first of a connection, must be complete by then
@@ -42,9 +45,13 @@
         sock: socket.socket,
         published_state: PublishedState,
         handle_frame: FrameHandler,
+        turns: TurnScheduler,
+        now: float,
         allows_abandon: bool = False,
     ) -> None:
         self.sock = sock
+        self.turns = turns
+        self.account = ReadAccount(now)
         self.published_state = published_state
         self.handle_frame = handle_frame
         self._send: Callable[..., int] = sock.send  # gevent's send takes a time-out as well
@@ -55,10 +62,11 @@
         self.caller: int | None = None
         self.streams_used_up_to = 0
         self.streams_used_beyond = set[int]()
-        self.last_used_ms = 0.0
+        self.last_used_ms = now
         self.go_away_sent_at_ms: float | None = None
         self.close_reason: CloseReason | None = None
         self.is_reading = False
+        self.is_awaiting_turn = False  # with input that was not looked at yet
         self.is_flushing = False
         # Why nothing more is read. Open streams are still answered.
         self.read_close_reason: CloseReason | None = None
@@ -86,7 +94,6 @@
         return self.close_reason or CloseReason.CLOSED_LOCALLY
 
     def _read(self) -> None:
-        reads = 0
         while self.close_reason is None:
             self.is_reading = True
             count = self.sock.recv_into(self.incoming.writable_view())
@@ -95,16 +102,25 @@
                 self.read_close_reason = CloseReason.CLOSED_BY_PEER
                 return
             self.incoming.mark_written(count)
-            for frame in self.decoder.frames():
-                self._dispatch(frame)
-            self.flush()
-            while len(self.outgoing) > MAX_UNSENT_BYTES and self.close_reason is None:
-                self.write_progress.clear()
-                self.write_progress.wait()
-            reads += 1
-            if reads % READS_PER_TURN == 0:
-                # A socket that always has data never waits: one fast sender would starve all others.
-                gevent.sleep(0)
+            self._take_turn(count)
+            while self.decoder.may_have_frame and self.close_reason is None:
+                self._take_turn(0)
+
+    def _take_turn(self, received_bytes: int) -> None:
+        """Waits for this connection's turn, then handles as many frames as one turn allows.
+
+        A connection that always has data never waits for it, so it must wait here."""
+        self.is_awaiting_turn = True
+        self.turns.wait(self.account.priority(now_ms()))
+        self.is_awaiting_turn = False
+        frames_before = self.frames_received
+        for frame in self.decoder.frames(FRAMES_PER_TURN):
+            self._dispatch(frame)
+        self.account.charge(self.frames_received - frames_before, received_bytes)
+        self.flush()
+        while len(self.outgoing) > MAX_UNSENT_BYTES and self.close_reason is None:
+            self.write_progress.clear()
+            self.write_progress.wait()
 
     def _finish_open_streams(self, read_end: CloseReason) -> None:
         """Waits until the open streams are answered, then ends the connection.
@@ -147,7 +163,7 @@
         """Drops what lies unread in the socket's buffer, without waiting and in a bounded number of reads."""
         with suppress(OSError):
             self.sock.settimeout(0.0)
-            for _ in range(READS_PER_TURN):
+            for _ in range(MAX_DISCARDING_READS):
                 if not self.sock.recv(LINGER_BYTES):
                     return
 
--- a/myrtlecrank/edge/server.py
+++ b/myrtlecrank/edge/server.py
@@ -10,12 +10,15 @@
 from gevent import socket
 from loguru import logger
 
-from myrtlecrank.core.actor import Core, now_ms
+from myrtlecrank.core.actor import Core
+from myrtlecrank.core.clock import now_ms
 from myrtlecrank.core.connection_errors import CloseReason
+from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.messages import ExchangeRequest, ExchangesAbandoned
 from myrtlecrank.edge.accept_rate import AcceptRateLimiter, AcceptRateOptions
 from myrtlecrank.edge.caller import Caller, GroupEntry
 from myrtlecrank.edge.connection import Connection
+from myrtlecrank.edge.turns import TurnScheduler
 from myrtlecrank.frames import codec
 from myrtlecrank.policy.interface import EffectKind
 
@@ -53,6 +56,7 @@
         }
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
         self.allows_abandon = settings.reports_abandonment
+        self.turns = TurnScheduler()
         self.callers: dict[int, Caller] = {}
         self.connections: dict[Connection, None] = {}  # least recently used first
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -115,7 +119,12 @@
         )
         victim = victim or next((connection for connection in closable if connection.has_no_input()), None)
         victim = victim or next(
-            (connection for connection in closable if not connection.frames_received), None
+            (
+                connection
+                for connection in closable
+                if not (connection.frames_received or connection.is_awaiting_turn)
+            ),
+            None,
         )
         if victim is not None:
             victim.close(CloseReason.CLOSED_LOCALLY)
@@ -127,8 +136,9 @@
         # A socket that the caller closed meanwhile may refuse the option; its first read ends it.
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(sock, self.published_state, self.handle_frame, self.allows_abandon)
-        connection.last_used_ms = now_ms()
+        connection = Connection(
+            sock, self.published_state, self.handle_frame, self.turns, now_ms(), self.allows_abandon
+        )
         self.connections[connection] = None
         gevent.spawn(self._serve, connection)
         return connection
@@ -280,7 +290,7 @@
     def _accept_backlog_in_turns(self) -> None:
         """Accepts the rest of a backlog above the limit of descriptors as earlier connections close."""
         while not self._accept_backlog():
-            gevent.sleep(0)  # new connections are read before any of them may have to be closed
+            yield_to_io()  # new connections are read before any of them may have to be closed
             if len(self.connections) >= self.max_connections and not self.make_room():
                 gevent.sleep(NO_DESCRIPTOR_PAUSE_S)
-            gevent.sleep(0)  # closed connections keep their descriptors until the event loop has had its turn
+            yield_to_io()  # closed connections keep their descriptors until the event loop has had its turn
--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -110,10 +110,15 @@
         self.buffer = buffer
         self.allowed_types = (REQUEST, HEALTH_CHECK, ABANDON) if allows_abandon else (REQUEST, HEALTH_CHECK)
         self.bytes_to_skip = 0  # the part of an overlong frame that has not arrived yet
+        self.may_have_frame = False  # the last call of frames() ended at its limit
 
-    def frames(self) -> Iterator[Frame]:
-        """Yields the frames that have arrived whole. Raises ProtocolError where the bytes are not a frame."""
+    def frames(self, max_count: int | None = None) -> Iterator[Frame]:
+        """Yields the frames that have arrived whole, at most `max_count` of them.
+
+        Raises ProtocolError where the bytes are not a frame."""
         buffer = self.buffer
+        count = 0
+        self.may_have_frame = False
         if self.bytes_to_skip:
             skipped = min(self.bytes_to_skip, len(buffer))
             buffer.discard(skipped)
@@ -121,6 +126,10 @@
         raw, at = buffer.peek(len(buffer)), 0  # one copy, however many frames the buffer holds
         try:
             while len(raw) - at >= HEADER.size:
+                if count == max_count:
+                    self.may_have_frame = True
+                    return
+                count += 1
                 length, kind, stream = HEADER.unpack_from(raw, at)
                 _check_length(length)
                 _check_type(kind, stream, self.allowed_types)
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -15,7 +15,8 @@
 from myrtlecrank import log
 from myrtlecrank.agent.client import AgentClient
 from myrtlecrank.configuration import Configuration, ConfigurationError
-from myrtlecrank.core.actor import Core, now_ms
+from myrtlecrank.core.actor import Core
+from myrtlecrank.core.clock import now_ms
 from myrtlecrank.core.messages import DrainRequested, RetryOptionsChanged
 from myrtlecrank.dependency.client import DependencyClient
 from myrtlecrank.edge.server import EdgeServer
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,7 +12,7 @@
 from gevent import socket
 from helpers import CoreHarness, exchange_frame, group
 
-from myrtlecrank.core.actor import now_ms
+from myrtlecrank.core.clock import now_ms
 from myrtlecrank.core.connection_errors import CloseReason
 from myrtlecrank.core.messages import Answer, DrainRequested, ExchangeArrived, ExchangesAbandoned, Verdict
 from myrtlecrank.edge.accept_rate import AcceptRateOptions
