A request that conflicts with another is answered by its own due time

Cause: a conflicting request waited for a second from each time it was taken in, whatever was left of its own time; the controller wakes exchanges at their due times and does not know of these.

Change: core/conflicts.py. A wait ends by the waiter's due time less the answer margin, or after a second, for all exchanges before it together. One request of a connection waits for an exchange. One that left between two of them is not taken in.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from myrtlecrank.core.clock import now_ms
+from myrtlecrank.core.conflicts import Conflicts, wait_end
 from myrtlecrank.core.connection_errors import OUTCOME_BY_REASON, CloseReason
 from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.exchange_entry import ExchangeEntry
@@ -58,7 +59,6 @@
 
 MAILBOX_CAPACITY = 2048  # messages
 BATCH_MAX_MESSAGES = 128  # a longer batch would keep the event loop from the sockets
-CONFLICT_WAIT_MS = 1000.0  # the longest that a conflicting request waits for the one before it
 CONFLICT_CUTOFF_MS = 200.0  # before the process is stopped, all conflicting requests are answered
 IDLE_TICK_MS = 100.0  # sampling interval while there is no controller to set one
 PROVEN_NOT_EXECUTED = (Outcome.NOT_STARTED, Outcome.UNREACHED)
@@ -112,7 +112,7 @@
         # Numbers of the commands at the start of the connection, and of the last sample asked for on it.
         self.connected_at_command = 0
         self.last_sample_command = 0
-        self.entries_with_conflicts: dict[ExchangeEntry, None] = {}
+        self.conflicts = Conflicts()
         # Running entries whose start commands were not sent, or may have been lost.
         self.entries_in_doubt: dict[ExchangeEntry, None] = {}
         self.alarm = ("", 0.0)  # the name and delay that the controller asked for last
@@ -356,8 +356,7 @@
 
     def _abandoned_by_caller(self, request: ExchangeRequest) -> None:
         entry = self.entries_by_id.get(request.exchange_id)
-        if entry is not None and entry.request is not request:
-            self._reject_conflict(entry, request)
+        self._reject_conflict(request)
         if entry is None or entry.request is not request or entry.answered or self.controller is None:
             return
         self._mark_answered(entry)
@@ -367,35 +366,37 @@
         self._remove_if_done(entry)
 
     def _add_conflict(self, entry: ExchangeEntry, request: ExchangeRequest) -> None:
-        """Lets a request with the identifier of `entry`, or with its key and another body, wait for a limited
-        time until the agent has accepted or refused `entry`: only the agent knows which of them is genuine.
-        Clients that use the identifiers or keys of others, before or after them, thus gain nothing."""
+        """Lets a request wait until the agent has accepted or refused `entry`, or its own time is up."""
+        replaced = self.conflicts.replaced_by(entry, request)
+        if replaced is not None:
+            self._reject_conflict(replaced)
         self.unanswered += 1
-        entry.conflicting_requests.append(request)
-        self.entries_with_conflicts[entry] = None
-        self._add_timer(self.now + CONFLICT_WAIT_MS, lambda: self._reject_conflict(entry, request))
+        self.conflicts.add(entry, request)
+        if request.conflict_wait_end is None:
+            request.conflict_wait_end = self._conflict_wait_end(request)
+            self._add_timer(request.conflict_wait_end, partial(self._reject_conflict, request))
         self._decide_conflicts(entry)
 
+    def _conflict_wait_end(self, request: ExchangeRequest) -> float:
+        assert self.controller is not None
+        group_timeout_ms = self.settings.groups[request.group].timeout
+        return wait_end(request, group_timeout_ms, self.controller.answer_margin_ms, self.now)
+
     def _decide_conflicts(self, entry: ExchangeEntry) -> None:
         """Rejects the requests that conflict with `entry` once the agent has executed `entry`."""
         if entry.running and 0 < entry.start_number <= self.last_received_command:
             entry.confirmed = True
         if entry.confirmed:
-            self._reject_conflicts(entry)
-
-    def _reject_conflicts(self, entry: ExchangeEntry) -> None:
-        for request in list(entry.conflicting_requests):
-            self._reject_conflict(entry, request)
+            for request in self.conflicts.requests_waiting_for(entry):
+                self._reject_conflict(request)
 
     def _reject_all_conflicts(self) -> None:
-        for entry in list(self.entries_with_conflicts):
-            self._reject_conflicts(entry)
-
-    def _reject_conflict(self, entry: ExchangeEntry, request: ExchangeRequest) -> None:
-        if request in entry.conflicting_requests:
-            entry.conflicting_requests.remove(request)
-            if not entry.conflicting_requests:
-                self.entries_with_conflicts.pop(entry, None)
+        for request in list(self.conflicts.awaited):
+            self._reject_conflict(request)
+
+    def _reject_conflict(self, request: ExchangeRequest) -> None:
+        """Terminates a request, if it still waits for the exchange that it conflicts with."""
+        if self.conflicts.remove(request):
             self.unanswered -= 1
             logger.warning("an exchange is terminated: its identifier or key is in use")
             request.send_answer(Answer(request, Verdict.TERMINATED))
@@ -493,15 +494,14 @@
                     self._add_timer(self.now, partial(self._share_result, waiter, None))
                 entry.waiters.clear()
             self._decide_conflicts(entry)
-            conflicting_requests, entry.conflicting_requests = entry.conflicting_requests, []
-            self.entries_with_conflicts.pop(entry, None)
-            for request in conflicting_requests:
+            for request in self.conflicts.release(entry):
                 self._add_timer(self.now, partial(self._readmit, request))
 
     def _readmit(self, request: ExchangeRequest) -> None:
         """Admits a request once the entry it conflicted with is gone and was not genuine, or never ran."""
-        self.unanswered -= 1
-        self._exchange_arrived(request)
+        if self.conflicts.remove(request):  # its caller has not left meanwhile
+            self.unanswered -= 1
+            self._exchange_arrived(request)
 
     # Operations that the controller asks for
 
@@ -676,7 +676,7 @@
             # The agent reads commands in order: it has received all that were sent before this one. A sample
             # that is too late for its tick tells this too, or a slow link would never confirm anything.
             self.last_received_command = number
-            for entry in list(self.entries_with_conflicts):
+            for entry in list(self.conflicts.waiting):
                 self._decide_conflicts(entry)
             for entry in list(self.entries_in_doubt):
                 if 0 < entry.cancel_number <= self.last_received_command:
--- a/myrtlecrank/core/exchange_entry.py
+++ b/myrtlecrank/core/exchange_entry.py
@@ -20,7 +20,6 @@
         "cancel_number",
         "cancel_requested",
         "confirmed",
-        "conflicting_requests",
         "ended_at",
         "exchange",
         "lost_start_outcome",
@@ -62,7 +61,6 @@
         self.confirmed = (
             False  # the agent ran it, so no conflicting request can be the one that the agent knows
         )
-        self.conflicting_requests: list[ExchangeRequest] = []  # others with the same identifier or key
         self.call_body = b""  # the request of the dependency call at which the execution waits
         self.call_started_at: float | None = None  # while that call is outstanding
         # How the call ended, until the agent reports more.
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -123,6 +123,7 @@
             result_key=(request.key if is_deduplicated else request.subject) or "",
             body=request.body,
             send_answer=self.mailbox.post,
+            connection=connection,
             reply_context=(connection, request.stream),
         )
         self.submit(ExchangeArrived(exchange_request))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -209,9 +209,7 @@
     harness.process_batch(9.0, RunEnded("aa", Outcome.OK, 9.0, b""))
     assert [a.verdict for a in harness.answers] == [Verdict.COMPLETED, Verdict.TERMINATED]
     assert (
-        not harness.core.entries_by_id
-        and not harness.core.entries_with_conflicts
-        and harness.core.unanswered == 0
+        not harness.core.entries_by_id and not harness.core.conflicts.waiting and harness.core.unanswered == 0
     )
 
 
