A pass of the loop takes a bounded number of frames, and accepts up to 8 connections

Seen: beside 440 connections with requests of 14 KB an edge node that connected among them got its first answer after 1.0 s. Cause: one connection was accepted in a pass, and a pass took up to 32 frames of new connections.

Change: turns end for a pass after 16 frames of proven connections or 8 of new ones; up to 8 connections are accepted in a pass. The flood rig waits within the group's time limit now (its requests of a sound kind were turned away at the door before), opens a new connection when told away, and knows requests with large fields.

--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -116,7 +116,9 @@
         frames_before = self.frames_received
         for frame in self.decoder.frames(FRAMES_PER_TURN):
             self._dispatch(frame)
-        self.account.charge(self.frames_received - frames_before, received_bytes)
+        frame_count = self.frames_received - frames_before
+        self.account.charge(frame_count, received_bytes)
+        self.turns.end_turn(frame_count)
         self.flush()
         while len(self.outgoing) > MAX_UNSENT_BYTES and self.close_reason is None:
             self.write_progress.clear()
--- a/myrtlecrank/edge/server.py
+++ b/myrtlecrank/edge/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -23,6 +24,7 @@
 from myrtlecrank.policy.interface import EffectKind
 
 BACKLOG_CONNECTIONS = 512
+ACCEPTS_PER_PASS = 8  # between two looks at all other sockets
 RESERVED_SOCKETS = 24  # for the agent, the membership list and the interpreter's files: some ten are used
 NO_DESCRIPTOR_PAUSE_S = 0.05
 MAX_SWEEP_ELAPSED_MS = 200.0  # that one sweep counts, so that a pause of this process closes nothing
@@ -63,6 +65,8 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG_CONNECTIONS)
+        self.listener_poll = select.poll()
+        self.listener_poll.register(self.listener.fileno(), select.POLLIN)
         # Connections that the backlog may still hold when accepting stops; 0 once all are accepted.
         self.backlog_left = BACKLOG_CONNECTIONS + 1
         self.swept_at_ms = now_ms()
@@ -83,9 +87,12 @@
         self.accept_loop.get()
 
     def _accept(self) -> None:
+        accepted_in_pass = 0
         while not self.published_state.stopped_accepting:
             try:
-                socket.wait_read(self.listener.fileno())
+                if accepted_in_pass >= ACCEPTS_PER_PASS or not self._has_backlog():
+                    accepted_in_pass = 0
+                    socket.wait_read(self.listener.fileno())
                 if len(self.connections) >= self.max_connections and not self.make_room():
                     gevent.sleep(NO_DESCRIPTOR_PAUSE_S)
                     continue
@@ -96,6 +103,7 @@
                     gevent.sleep(wait_ms / 1000.0)
                     continue
                 sock, _ = self.listener.accept()
+                accepted_in_pass += 1
             except OSError as error:
                 if self.published_state.stopped_accepting or error.errno == errno.EBADF:
                     return
@@ -105,6 +113,10 @@
                 continue
             self.add_connection(sock)
 
+    def _has_backlog(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        return bool(self.listener_poll.poll(0.0))
+
     def make_room(self) -> bool:
         """Closes one connection without pending answers, so that health checks and exchanges still get in.
 
--- a/myrtlecrank/edge/turns.py
+++ b/myrtlecrank/edge/turns.py
@@ -11,7 +11,8 @@
 from myrtlecrank.edge.read_account import ReadPriority
 
 FRAMES_PER_TURN = 8
-FOREGROUND_TURNS_PER_PASS = 4  # between two looks at the sockets
+# Frames in one pass of the event loop, between two looks at the sockets, after which no more turns begin.
+FRAMES_PER_PASS = {ReadPriority.PROVEN: 16, ReadPriority.NEW: 8}
 MAX_BACKGROUND_WAIT_S = 0.005  # one background turn at least in so long, however busy the loop is
 
 
@@ -29,37 +30,45 @@
         self.background_watcher = self.loop.idle(priority=self.loop.MINPRI)
         self.background_timer = self.loop.timer(MAX_BACKGROUND_WAIT_S)
         self.pass_number = -1
-        self.turns_in_pass = 0
+        self.frames_in_pass = 0
 
     def wait(self, priority: ReadPriority) -> None:
         """Returns when it is the calling greenlet's turn."""
-        if priority is not ReadPriority.BACKGROUND and not self._foreground() and self._take_from_pass():
-            return
-        waiter: Waiter[None] = Waiter()
-        self.waiting[priority].append(waiter)
         if priority is ReadPriority.BACKGROUND:
             self._arm_background()
+        elif self._next_foreground() is None and self._is_free(priority):
+            return
         elif not self.foreground_watcher.active:
             self.foreground_watcher.start(self._run_foreground)
+        waiter: Waiter[None] = Waiter()
+        self.waiting[priority].append(waiter)
         waiter.get()
 
-    def _foreground(self) -> deque[Waiter[None]] | None:
-        """The queue in the foreground that is served next; None if nobody waits there."""
-        return self.waiting[ReadPriority.PROVEN] or self.waiting[ReadPriority.NEW] or None
+    def end_turn(self, frame_count: int) -> None:
+        """Counts what a turn has taken."""
+        self._begin_pass()
+        self.frames_in_pass += max(1, frame_count)
 
-    def _take_from_pass(self) -> bool:
-        """Whether this pass of the event loop has a turn left in the foreground, which is taken."""
+    def _begin_pass(self) -> None:
         if self.loop.iteration != self.pass_number:
             self.pass_number = self.loop.iteration
-            self.turns_in_pass = 0
-        self.turns_in_pass += 1
-        return self.turns_in_pass <= FOREGROUND_TURNS_PER_PASS
+            self.frames_in_pass = 0
+
+    def _is_free(self, priority: ReadPriority) -> bool:
+        """Whether this pass of the event loop has room for a turn of that priority."""
+        self._begin_pass()
+        return self.frames_in_pass < FRAMES_PER_PASS[priority]
+
+    def _next_foreground(self) -> ReadPriority | None:
+        """The first priority in the foreground at which a connection waits."""
+        return next((priority for priority in FRAMES_PER_PASS if self.waiting[priority]), None)
 
     def _run_foreground(self) -> None:
-        while (queue := self._foreground()) and self._take_from_pass():
-            queue.popleft().switch(None)
-        if not self._foreground():
-            self.foreground_watcher.stop()
+        while (priority := self._next_foreground()) is not None:
+            if not self._is_free(priority):
+                return
+            self.waiting[priority].popleft().switch(None)
+        self.foreground_watcher.stop()
 
     def _arm_background(self) -> None:
         if not self.background_watcher.active:
--- a/rig/processes/flood_client.py
+++ b/rig/processes/flood_client.py
@@ -17,13 +17,14 @@
 
 FRAMES_PER_WRITE = 50
 MAX_FIELDS = 255
+LARGE_SUBJECT_BYTES = 14_000
 LARGE_FRAME_BYTES = 262_144
 PART_OF_LARGE_FRAME_BYTES = 200_000
 SLOW_WRITE_BYTES = 2048
 SLOW_WRITE_PAUSE_S = 0.02
 RECONNECT_PAUSE_S = 0.02
 CONNECT_TIMEOUT_S = 5.0
-WAIT_MS = 4000
+WAIT_MS = 2500
 REQUEST = 10
 HEALTH_CHECK = 20
 UNKNOWN_TYPE = 77
@@ -76,6 +77,8 @@
     "health-checks": lambda seeded, stream: frame(HEALTH_CHECK, stream, {}),
     "unknown-type": lambda seeded, stream: frame(UNKNOWN_TYPE, stream, {}),
     "many-fields": many_fields,
+    "large-subject": lambda seeded, stream: request(seeded, stream, o="s" * LARGE_SUBJECT_BYTES),
+    "large-tenant": lambda seeded, stream: request(seeded, stream, t="t" * LARGE_SUBJECT_BYTES),
 }
 SILENT_KINDS = ("half-frame", "slow-frame")
 ALL_KINDS = (*KINDS, *SILENT_KINDS)
@@ -117,6 +120,7 @@
     while time.monotonic() < until:
         try:
             with socket.create_connection(address, timeout=CONNECT_TIMEOUT_S) as sock:
+                sock.settimeout(None)
                 reader = gevent.spawn(_read_all, sock)
                 if kind in SILENT_KINDS:
                     _send_part_of_a_frame(sock, kind, until)
--- a/rig/processes/flood_play.py
+++ b/rig/processes/flood_play.py
@@ -30,6 +30,7 @@
 COMPLETED = 0
 REQUEST = 10
 ANSWER = 11
+GO_AWAY = 30
 SETTINGS: dict[str, Any] = {
     "categories": [
         {"name": "page", "effect": "read_like", "aim": 600_000, "deadline": 1_500_000, "worth": 1.0}
@@ -152,6 +153,50 @@
         return statistics.median(self.delays)
 
 
+class EdgeNodeConnection:
+    """One connection of the edge node, and the requests on it."""
+
+    def __init__(self, address: tuple[str, int], result: EdgeNodeResult) -> None:
+        self.result = result
+        self.sent_at: list[float] = []  # by stream, from 1 up
+        self.was_told_away = False
+        self.sock = socket.create_connection(address, timeout=5.0)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.settimeout(None)
+        self.reader = gevent.spawn(self._read_answers)
+
+    def send(self, identifier: str) -> None:
+        """Sends a request."""
+        self.sent_at.append(time.monotonic())
+        fields = {"c": "page", "i": identifier, "s": str(int(time.time() * 1000)), "f": "1"}
+        fields |= {"d": str(WAIT_MS), "m": "24.5", "p": "0.5"}
+        try:
+            self.sock.sendall(frame(REQUEST, len(self.sent_at), fields, b"page"))
+        except OSError:
+            self.was_told_away = True
+
+    def _read_answers(self) -> None:
+        frames = FrameReader()
+        try:
+            while data := self.sock.recv(65536):
+                self._handle(frames.feed(data))
+        except OSError:
+            pass
+        self.was_told_away = True
+
+    def _handle(self, found: list[tuple[int, int, int, dict[str, str], bytes]]) -> None:
+        for kind, stream, code, _, _ in found:
+            if kind == ANSWER:
+                self.result.delays.append((time.monotonic() - self.sent_at[stream - 1]) * 1000.0)
+                self.result.completed += code == COMPLETED
+            self.was_told_away |= kind == GO_AWAY
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.reader.kill()
+        self.sock.close()
+
+
 class Backend:
     """A `myrtlecrank serve` process with its agent and its membership list."""
 
@@ -206,37 +251,23 @@
             self.floods.append(subprocess.Popen(command, cwd=ROOT))
 
     def run_edge_node(self, seconds: float) -> EdgeNodeResult:
-        """Sends requests at even intervals over one connection and waits for their answers."""
+        """Sends requests at even intervals and waits for their answers."""
         result = EdgeNodeResult()
-        sent_at: dict[int, float] = {}
-        sock = socket.create_connection(self.address, timeout=5.0)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(None)
-        reader = gevent.spawn(self._read_answers, sock, sent_at, result)
+        connections = [EdgeNodeConnection(self.address, result)]
         began = time.monotonic()
         while (due := began + result.sent * INTERVAL_S) < began + seconds:
             gevent.sleep(max(0.0, due - time.monotonic()))
+            if connections[-1].was_told_away:
+                connections.append(EdgeNodeConnection(self.address, result))
             result.sent += 1
             identifier = f"{int(began * 1000) % 2**32:08x}{result.sent:08x}"
             self.agent.known.add(identifier)
-            sent_at[result.sent] = time.monotonic()
-            fields = {"c": "page", "i": identifier, "s": str(int(time.time() * 1000)), "f": "1"}
-            fields |= {"d": str(WAIT_MS), "m": "24.5", "p": "0.5"}
-            sock.sendall(frame(REQUEST, result.sent, fields, b"page"))
-        reader.join(timeout=2.0 * LATE_MS / 1000.0)
-        reader.kill()
-        sock.close()
+            connections[-1].send(identifier)
+        gevent.sleep(LATE_MS / 1000.0)
+        for connection in connections:
+            connection.close()
         return result
 
-    @staticmethod
-    def _read_answers(sock: socket.socket, sent_at: dict[int, float], result: EdgeNodeResult) -> None:
-        frames = FrameReader()
-        while data := sock.recv(65536):
-            for kind, stream, code, _, _ in frames.feed(data):
-                if kind == ANSWER:
-                    result.delays.append((time.monotonic() - sent_at[stream]) * 1000.0)
-                    result.completed += code == COMPLETED
-
     def peak_memory_mb(self) -> float:
         """The most memory that the process has held so far."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
@@ -270,6 +301,8 @@
                 f"{len(backend.log.read_text().splitlines())}",
                 flush=True,
             )
+        except OSError as error:
+            print(f"{kind}: {error}, exit code {backend.process.poll()}\n{backend.log.read_text()[-2000:]}")
         finally:
             backend.close()
 
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -6,11 +6,12 @@
 
 import gevent
 import pytest
+from gevent import socket
 
 from myrtlecrank.core.event_loop import yield_to_io
-from myrtlecrank.edge import read_account, turns
+from myrtlecrank.edge import read_account
 from myrtlecrank.edge.read_account import ReadAccount, ReadPriority
-from myrtlecrank.edge.turns import FOREGROUND_TURNS_PER_PASS, TurnScheduler
+from myrtlecrank.edge.turns import FRAMES_PER_PASS, FRAMES_PER_TURN, TurnScheduler
 
 FLOOD_INTERVAL_MS = 0.1
 
@@ -36,18 +37,18 @@
     chance = random.Random(seed)
     account, now, foreground_frames = ReadAccount(0.0), 0.0, 0
     while now < 10_000.0:
-        frames = chance.randint(1, turns.FRAMES_PER_TURN)
+        frames = chance.randint(1, FRAMES_PER_TURN)
         if account.priority(now) is not ReadPriority.BACKGROUND:
             foreground_frames += frames
         account.charge(frames, chance.randint(0, 2048))
         now += FLOOD_INTERVAL_MS
     refilled = read_account.ALLOWANCE_PER_MS * now
-    assert foreground_frames <= turns.FRAMES_PER_TURN * (read_account.INITIAL_ALLOWANCE + refilled)
+    assert foreground_frames <= FRAMES_PER_TURN * (read_account.INITIAL_ALLOWANCE + refilled)
 
 
 def test_a_greenlet_that_yields_lets_the_loop_look_at_the_sockets_each_time() -> None:
     """Guards against gevent.sleep(0), after which 50 callbacks may run before any socket is looked at."""
-    ours, theirs = gevent.socket.socketpair()
+    ours, theirs = socket.socketpair()
     turns_of_busy = 0
 
     def stay_busy() -> None:
@@ -89,14 +90,16 @@
     def connection(priority: ReadPriority) -> None:
         scheduler.wait(priority)
         order.append((priority, scheduler.loop.iteration))
+        scheduler.end_turn(FRAMES_PER_TURN)
 
     priorities = [ReadPriority.BACKGROUND, ReadPriority.NEW, ReadPriority.PROVEN] * 12
     gevent.joinall([gevent.spawn(connection, priority) for priority in priorities])
     foreground = [entry for entry in order if entry[0] is not ReadPriority.BACKGROUND]
     passes = [iteration for _, iteration in foreground]
-    assert max(passes.count(iteration) for iteration in passes) <= FOREGROUND_TURNS_PER_PASS
+    most_turns = FRAMES_PER_PASS[ReadPriority.PROVEN] // FRAMES_PER_TURN
+    assert max(passes.count(iteration) for iteration in passes) <= most_turns
     # What comes while a place is free takes it; of those that wait, the proven ones are first.
-    waited = [priority for priority, _ in foreground[FOREGROUND_TURNS_PER_PASS:]]
+    waited = [priority for priority, _ in foreground[most_turns:]]
     assert waited == sorted(waited)
     assert [priority for priority, _ in order[-12:]].count(ReadPriority.BACKGROUND) >= 11
 
