Memory of connections, exchanges and unfinished frames is bounded by the process's limits

Here the picture took 34 to 42 MB of 192, but nothing bounded it: an exchange could hold a subject of 16 KB, and 3,000 requests that the agent refused left 6,000 timers with their exchanges in the controller until their callers would have stopped waiting.

Change: edge/limits.py derives numbers of connections and open exchanges and the room of unfinished large frames from limits.memory_mb and limits.sockets; the controller drops stale timers; subjects have a bound of 2 KB.

--- a/myrtlecrank/configuration.py
+++ b/myrtlecrank/configuration.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, NoReturn
 
+from myrtlecrank.edge.limits import DEFAULT_MEMORY_MB
 from myrtlecrank.policy.interface import ControllerSettings, DependencyKind
 from myrtlecrank.settings import FieldError, Fields, controller_settings, gauge_attributes
 
@@ -34,6 +35,7 @@
     dependency_address: tuple[str, int] | None  # None where the site has no dependency
     stop_ms: float  # from SIGTERM until the platform kills the process
     sockets: int
+    memory_mb: float  # that the process may hold
     settings: ControllerSettings
     gauges: list[str]
     raw_values: dict[str, Any]  # the JSON object as it was written
@@ -116,6 +118,7 @@
         raise FieldError(
             f"{settings_fields.where}: each 'aim' must be above 0 and at most its category's 'deadline'"
         )
+    limits = fields.inner("limits")
     return Configuration(
         name=fields.text("name"),
         listen_address=_address(fields, "listen"),
@@ -125,7 +128,8 @@
         if settings.dependency is DependencyKind.NONE
         else _address(fields, "records"),
         stop_ms=_positive(fields, "stop_ms"),
-        sockets=int(_positive(fields.inner("limits"), "sockets")),
+        sockets=int(_positive(limits, "sockets")),
+        memory_mb=_positive(limits, "memory_mb") if "memory_mb" in limits.values else DEFAULT_MEMORY_MB,
         settings=settings,
         gauges=gauge_attributes(settings_fields),
         raw_values=fields.values,
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -11,6 +11,7 @@
 from myrtlecrank.core.published_state import PublishedState
 from myrtlecrank.edge.connection import Connection
 from myrtlecrank.frames import codec
+from myrtlecrank.policy.interface import EffectKind
 
 MAILBOX_MESSAGES = 256
 MAX_CLOCK_AHEAD_MS = 1000.0  # how far an arrival stamp may be ahead of our clock
@@ -29,10 +30,10 @@
 
     number: int
     timeout_ms: float
-    is_deduplicated: bool
+    kind: EffectKind
 
 
-UNKNOWN_GROUP = (None, 0.0, False)
+UNKNOWN_GROUP = (None, 0.0, EffectKind.REPEATABLE)
 
 
 class Caller:
@@ -47,12 +48,16 @@
         groups: dict[str, GroupEntry],
         tenants: dict[str, int],
         sends_wait_time: bool,
+        max_retry_after_ms: float,
         published_state: PublishedState,
+        has_room: Callable[[], bool],
         submit: Callable[[ExchangeArrived], None],
     ) -> None:
         self.groups = groups
         self.tenants = tenants
         self.sends_wait_time = sends_wait_time
+        self.max_retry_after_ms = max_retry_after_ms
+        self.has_room = has_room
         self.published_state = published_state
         self.submit = submit
         self.connection_count = 0
@@ -90,13 +95,14 @@
 
     def handle_request(self, connection: Connection, request: codec.Request) -> None:
         """Submits a request that was read just now, at `connection.last_used_ms`, or rejects it."""
-        group, timeout_ms, is_deduplicated = self.groups.get(request.group, UNKNOWN_GROUP)
+        group, timeout_ms, kind = self.groups.get(request.group, UNKNOWN_GROUP)
+        is_deduplicated = kind is EffectKind.DEDUPLICATED
         tenant = self.tenants.get(request.tenant or "") if self.tenants else 0
         if group is None or tenant is None:
             name = (
                 f"endpoint group {request.group[:MAX_QUOTED_CHARS]!r}"
                 if group is None
-                else f"tenant {request.tenant!r}"
+                else f"tenant {(request.tenant or '')[:MAX_QUOTED_CHARS]!r}"
             )
             connection.reject(request.stream, f"the unknown {name}")
             return
@@ -111,6 +117,12 @@
         if age_ms < -MAX_CLOCK_AHEAD_MS or (request.wait_ms or 0.0) > MAX_WAIT_TIMEOUTS * timeout_ms:
             connection.reject(request.stream, "an arrival time in the future or too long a waiting time")
             return
+        if not self.has_room():
+            if kind is EffectKind.REPEATABLE:
+                connection.refuse(request.stream, self.max_retry_after_ms)
+            else:  # a try of it may have run, and is never denied then
+                connection.reject(request.stream, "one more than there is memory for")
+            return
         exchange_request = connection.open_streams[request.stream] = ExchangeRequest(
             exchange_id=request.exchange_id,
             group=group,
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -14,6 +14,7 @@
 from myrtlecrank.core.connection_errors import CloseReason, reason_of_error
 from myrtlecrank.core.messages import ExchangeRequest
 from myrtlecrank.core.published_state import PublishedState
+from myrtlecrank.edge.limits import MAX_UNSENT_BYTES, BufferPool
 from myrtlecrank.edge.read_account import ReadAccount
 from myrtlecrank.edge.turns import FRAMES_PER_TURN, TurnScheduler
 from myrtlecrank.frames import codec
@@ -21,7 +22,6 @@
 
 READ_BUFFER_BYTES = 2048  # initial size; the buffer grows while more arrives
 MAX_DISCARDING_READS = 16
-MAX_UNSENT_BYTES = 4 * codec.MAX_RESULT_BYTES  # what a slow reader may leave unsent before we stop reading it
 STALLED_LIMIT_MS = 5000.0  # a reader that takes nothing for this long is considered gone
 INCOMPLETE_LIMIT_MS = 2000.0  # a frame, including the first of a connection, must be complete by then
 # Limits on the input that is still read, and dropped, before a close.
@@ -46,6 +46,7 @@
         published_state: PublishedState,
         handle_frame: FrameHandler,
         turns: TurnScheduler,
+        large_frames: BufferPool,
         now: float,
         allows_abandon: bool = False,
     ) -> None:
@@ -57,7 +58,7 @@
         self._send: Callable[..., int] = sock.send  # gevent's send takes a time-out as well
         self.incoming = RingBuffer(READ_BUFFER_BYTES)
         self.outgoing = RingBuffer()
-        self.decoder = codec.Decoder(self.incoming, allows_abandon)
+        self.decoder = codec.Decoder(self.incoming, allows_abandon, large_frames)
         self.open_streams: dict[int, ExchangeRequest | None] = {}
         self.caller: int | None = None
         self.streams_used_up_to = 0
@@ -217,6 +218,12 @@
         self.open_streams.pop(stream, None)
         self.queue(codec.encode_answer(stream, codec.TERMINATED, self.published_state.published_value))
 
+    def refuse(self, stream: int, retry_after_ms: float) -> None:
+        """Denies an exchange for which there is no memory; it may come again."""
+        self.open_streams.pop(stream, None)
+        value = self.published_state.published_value
+        self.queue(codec.encode_answer(stream, codec.DENIED, value, retry_after_ms))
+
     def _claim_stream(self, stream: int) -> bool:
         """Marks a stream number as used. Returns False if it was used before."""
         if stream == self.streams_used_up_to + 1 and not self.streams_used_beyond:
@@ -321,6 +328,7 @@
     def close(self, reason: CloseReason) -> None:
         """Closes the socket; the reading greenlet wakes and reports the end."""
         self._set_close_reason(reason)
+        self.decoder.release()
         self.sock.close()
         self.write_progress.set()
 
--- a/myrtlecrank/edge/server.py
+++ b/myrtlecrank/edge/server.py
@@ -19,13 +19,12 @@
 from myrtlecrank.edge.accept_rate import AcceptRateLimiter, AcceptRateOptions
 from myrtlecrank.edge.caller import Caller, GroupEntry
 from myrtlecrank.edge.connection import Connection
+from myrtlecrank.edge.limits import DEFAULT_MEMORY_MB, BufferPool, edge_limits
 from myrtlecrank.edge.turns import TurnScheduler
 from myrtlecrank.frames import codec
-from myrtlecrank.policy.interface import EffectKind
 
 BACKLOG_CONNECTIONS = 512
 ACCEPTS_PER_PASS = 8  # between two looks at all other sockets
-RESERVED_SOCKETS = 24  # for the agent, the membership list and the interpreter's files: some ten are used
 NO_DESCRIPTOR_PAUSE_S = 0.05
 MAX_SWEEP_ELAPSED_MS = 200.0  # that one sweep counts, so that a pause of this process closes nothing
 GO_AWAY_TIMEOUT_MS = 2000.0  # a caller that has not closed an idle connection by then is considered gone
@@ -36,7 +35,7 @@
 class EdgeServer:
     """Accepts callers' connections, passes their requests to the core and closes what is idle or stuck.
 
-    `sockets` is the limit on descriptors; `spawn` starts the actors of callers.
+    `sockets` and `memory_mb` are the limits of the process; `spawn` starts the actors of callers.
     """
 
     def __init__(
@@ -46,14 +45,18 @@
         core: Core,
         spawn: Callable[..., object] = gevent.spawn,
         accept_rate: AcceptRateOptions | None = None,
+        memory_mb: float = DEFAULT_MEMORY_MB,
     ) -> None:
         self.core = core
         self.published_state = core.published
         self.spawn = spawn
-        self.max_connections = max(1, sockets - RESERVED_SOCKETS)
+        limits = edge_limits(sockets, memory_mb)
+        self.max_connections = limits.max_connections
+        self.max_open_exchanges = limits.max_open_exchanges
+        self.large_frames = BufferPool(limits.large_frame_bytes)
         settings = core.settings
         self.groups = {
-            group.name: GroupEntry(number, group.timeout, group.kind is EffectKind.DEDUPLICATED)
+            group.name: GroupEntry(number, group.timeout, group.kind)
             for number, group in enumerate(settings.groups)
         }
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
@@ -149,7 +152,13 @@
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(
-            sock, self.published_state, self.handle_frame, self.turns, now_ms(), self.allows_abandon
+            sock,
+            self.published_state,
+            self.handle_frame,
+            self.turns,
+            self.large_frames,
+            now_ms(),
+            self.allows_abandon,
         )
         self.connections[connection] = None
         gevent.spawn(self._serve, connection)
@@ -181,13 +190,19 @@
                     self.groups,
                     self.tenants,
                     self.core.settings.sends_remaining_time,
+                    self.core.settings.max_retry_after,
                     self.published_state,
+                    self.has_room,
                     self.core.mailbox.put,
                 )
                 self.spawn(caller.run)
             caller.connection_count += 1
         self.callers[connection.caller].handle_request(connection, frame)
 
+    def has_room(self) -> bool:
+        """Whether there is memory for one more open exchange."""
+        return self.core.unanswered + len(self.core.mailbox) < self.max_open_exchanges
+
     def abandon(self, connection: Connection, stream: int) -> None:
         """Ends one exchange that its caller abandoned; the connection goes on.
 
--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Protocol
 
 from myrtlecrank.frames.ring_buffer import RingBuffer
 
@@ -15,9 +16,11 @@
 MIN_LENGTH_BYTES = 5  # type and stream
 MAX_LENGTH_BYTES = 262_144
 MAX_BUFFERED_LENGTH_BYTES = 16_384  # longer frames are legal, but no exchange that can be run needs them
+SMALL_FRAME_BYTES = 4096  # larger ones need memory of their own while they arrive
 MAX_REQUEST_BODY_BYTES = 2048
 MAX_RESULT_BYTES = 4096
 MAX_KEY_BYTES = 256
+MAX_SUBJECT_BYTES = 2048
 MAX_QUOTED_BYTES = 40  # of an invalid field, in the message about it
 MAX_OPEN_STREAMS = 32  # exchanges that one connection may carry at a time
 
@@ -103,11 +106,30 @@
     pass
 
 
+class BufferReservation(Protocol):
+    """Memory for frames that have not arrived whole."""
+
+    def reserve(self, byte_count: int) -> bool:
+        """Takes so many bytes, if they are free. Returns whether they were."""
+
+    def release(self, byte_count: int) -> None:
+        """Gives back what was reserved."""
+
+
 class Decoder:
-    """Takes whole frames off a ring buffer."""
+    """Takes whole frames off a ring buffer.
+
+    `large_frames` is where memory for a frame over SMALL_FRAME_BYTES is reserved until it has arrived."""
 
-    def __init__(self, buffer: RingBuffer, allows_abandon: bool = False) -> None:
+    def __init__(
+        self,
+        buffer: RingBuffer,
+        allows_abandon: bool = False,
+        large_frames: BufferReservation | None = None,
+    ) -> None:
         self.buffer = buffer
+        self.large_frames = large_frames
+        self.reserved_bytes = 0
         self.allowed_types = (REQUEST, HEALTH_CHECK, ABANDON) if allows_abandon else (REQUEST, HEALTH_CHECK)
         self.bytes_to_skip = 0  # the part of an overlong frame that has not arrived yet
         self.may_have_frame = False  # the last call of frames() ended at its limit
@@ -134,7 +156,9 @@
                 _check_length(length)
                 _check_type(kind, stream, self.allowed_types)
                 end = at + LENGTH_BYTES + length
-                if length > MAX_BUFFERED_LENGTH_BYTES:
+                if end <= len(raw):
+                    self.release()
+                if length > MAX_BUFFERED_LENGTH_BYTES or not self._may_buffer(length, end > len(raw)):
                     # Overlong frames are skipped as they arrive: many connections that each send the longest
                     # frame would exhaust the memory.
                     if kind != REQUEST:
@@ -158,6 +182,20 @@
         finally:
             buffer.discard(at)
 
+    def _may_buffer(self, length: int, is_incomplete: bool) -> bool:
+        """Whether there is memory for a frame of this length until it has arrived."""
+        if self.large_frames is None or not is_incomplete or length <= SMALL_FRAME_BYTES:
+            return True
+        if not self.reserved_bytes and self.large_frames.reserve(length):
+            self.reserved_bytes = length
+        return self.reserved_bytes > 0
+
+    def release(self) -> None:
+        """Gives back the memory that was reserved for the frame that is arriving."""
+        if self.large_frames is not None:
+            self.large_frames.release(self.reserved_bytes)
+            self.reserved_bytes = 0
+
     def is_mid_frame(self) -> bool:
         """Whether a frame has begun to arrive and is not complete."""
         return self.bytes_to_skip > 0 or len(self.buffer) > 0
@@ -230,6 +268,11 @@
     return number
 
 
+def _check_size(name: str, text: bytes | None, limit: int) -> None:
+    if text is not None and len(text) > limit:
+        raise _InvalidPayload(f"a {name} of {len(text)} bytes, expected at most {limit}")
+
+
 def _decode_request(stream: int, raw: bytes) -> Request | InvalidRequest:
     try:
         fields, at = _decode_fields(raw)
@@ -248,8 +291,8 @@
         if memory_kb == 0.0:
             raise _InvalidPayload("a memory size of 0 KB in the field 'm'")
         tenant, subject, key = fields.get(b"t"), fields.get(b"o"), fields.get(b"k")
-        if len(key or b"") > MAX_KEY_BYTES:
-            raise _InvalidPayload(f"a key of {len(key or b'')} bytes, expected at most {MAX_KEY_BYTES}")
+        _check_size("key", key, MAX_KEY_BYTES)
+        _check_size("subject", subject, MAX_SUBJECT_BYTES)
         return Request(
             stream,
             group=fields[b"c"].decode(),
--- a/myrtlecrank/policy/controller.py
+++ b/myrtlecrank/policy/controller.py
@@ -9,14 +9,22 @@
 import random
 from collections import deque
 from collections.abc import Generator
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from math import exp
 from typing import Any
 
 from myrtlecrank.policy import interface
 from myrtlecrank.policy.endpoint_group import EndpointGroupState
-from myrtlecrank.policy.exchange_state import CALL_PHASES, ExchangeState, Flow, Phase, ResumeReason, WaitPoint
+from myrtlecrank.policy.exchange_state import (
+    CALL_PHASES,
+    ExchangeState,
+    Flow,
+    KeyReservation,
+    Phase,
+    ResumeReason,
+    WaitPoint,
+)
 from myrtlecrank.policy.interface import (
     Cancellation,
     DependencyKind,
@@ -30,6 +38,8 @@
 MS_PER_S = 1000.0
 LONGEST_READ_DELAY_MS = 1e9  # a least delay beyond this stands for a window without arrivals
 
+MAX_STALE_TIMERS = 64  # and no more than half of all: memory must not grow with exchanges that are over
+
 # Gauges and duress
 SAMPLE_TIMER = "beat"
 SAMPLE_INTERVAL_MS = 100.0
@@ -123,6 +133,15 @@
 AWAITED_OPERATIONS = (interface.Start, interface.Call, interface.SkipCall, interface.AwaitOriginal)
 PROVEN_UNRUN = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NOT_STARTED)
 
+TimerAction = ExchangeState | KeyReservation | int
+
+
+def _is_stale(at: float, action: TimerAction) -> bool:
+    """Whether a timer that is due at `at` does nothing any more."""
+    if isinstance(action, ExchangeState):
+        return action.wake_at != at
+    return isinstance(action, KeyReservation) and not action.kb
+
 
 class Controller:
     """The decisions of one backend.
@@ -199,8 +218,9 @@
         self.queued_count = 0
         self.peak_in_progress = 0  # since the value was last published
         self.used_kb = 0.0
-        # An exchange is woken; an int changes the number of calls in flight; a float is memory that is freed.
-        self.timers: list[tuple[float, int, ExchangeState | int | float]] = []
+        # An exchange is woken; an int changes the number of calls in flight; the memory of a key is freed.
+        self.timers: list[tuple[float, int, TimerAction]] = []
+        self.stale_timers = 0  # those that will do nothing, as their exchange is over or their key released
         self.next_timer_number = count().__next__
 
         # How much runs at once
@@ -376,7 +396,8 @@
         self.waiting_for_original.pop(state, None)
         self._set_memory(state, 0.0)
         state.phase = Phase.CLOSED
-        state.wake_at = 0.0
+        self.stale_timers += state.wake_at is not None
+        state.wake_at = None
 
     def _set_memory(self, state: ExchangeState, kb: float) -> None:
         self.used_kb += kb - state.memory_kb
@@ -384,19 +405,17 @@
 
     def _cache_result(self, state: ExchangeState, duration_ms: float) -> interface.CacheResult:
         self.used_kb += self.key_kb
-        state.key_reserved_until = self.now + duration_ms
-        self._add_timer(state.key_reserved_until, self.key_kb)
+        if self.key_kb:
+            state.key = KeyReservation(self.key_kb)
+            self._add_timer(self.now + duration_ms, state.key)
         return interface.CacheResult(state.exchange, duration_ms)
 
     def _release_key(self, state: ExchangeState) -> None:
-        """Frees the memory of a key at once, as an exchange that never ran leaves no result.
-
-        A second timer takes back what the first one will free.
-        """
-        if state.key_reserved_until > self.now:
-            self.used_kb -= self.key_kb
-            self._add_timer(state.key_reserved_until, -self.key_kb)
-            state.key_reserved_until = 0.0
+        """Frees the memory of a key at once, as an exchange that never ran leaves no result."""
+        if state.key is not None and state.key.kb:
+            self.used_kb -= state.key.kb
+            state.key.kb = 0.0
+            self.stale_timers += 1
 
     def _denial(self, state: ExchangeState) -> interface.Deny:
         """Denies, with what the caller should do instead of a retry at once.
@@ -715,10 +734,15 @@
 
     # Timers, samples, publishing
 
-    def _add_timer(self, at: float, action: ExchangeState | int | float) -> None:
+    def _add_timer(self, at: float, action: TimerAction) -> None:
+        if self.stale_timers > MAX_STALE_TIMERS and 2 * self.stale_timers > len(self.timers):
+            self.timers = [entry for entry in self.timers if not _is_stale(entry[0], entry[2])]
+            self.stale_timers = 0
+            heapify(self.timers)
         heappush(self.timers, (at, self.next_timer_number(), action))
 
     def _wake_at(self, state: ExchangeState, at: float) -> None:
+        self.stale_timers += state.wake_at is not None
         state.wake_at = at
         self._add_timer(at, state)
 
@@ -727,13 +751,16 @@
         self.now = now
         while self.timers and self.timers[0][0] <= now:
             at, _, action = heappop(self.timers)
-            if isinstance(action, ExchangeState):
-                if action.wake_at == at:
-                    self._exchange_due(action)
+            if _is_stale(at, action):
+                self.stale_timers -= 1
+            elif isinstance(action, ExchangeState):
+                action.wake_at = None
+                self._exchange_due(action)
             elif isinstance(action, int):
                 self._count_calls(action)
             else:
-                self.used_kb -= action
+                self.used_kb -= action.kb
+                action.kb = 0.0
         if now >= self.stop_at - 2.0 * self.answer_margin_ms:
             queued = [state for group in self.groups for state in group.queue]
             for state in queued + list(self.running) + list(self.waiting_for_original):
--- a/myrtlecrank/policy/exchange_state.py
+++ b/myrtlecrank/policy/exchange_state.py
@@ -47,6 +47,15 @@
     RUN_ENDED = 6  # its run ended, not cancelled by the controller, while it waited at a call
 
 
+class KeyReservation:
+    """The accounted memory of the key of a cached result, until its window ends or it is released."""
+
+    __slots__ = ("kb",)
+
+    def __init__(self, kb: float) -> None:
+        self.kb = kb
+
+
 class ExchangeState:
     """One exchange, from its arrival until it is answered and nothing of it runs."""
 
@@ -64,8 +73,8 @@
         # The SLO time counts from here in a retry storm.
         self.first_try_at = self.reached_at - exchange.time_since_first_try
         self.memory_kb = exchange.memory_kb  # what is accounted for it now
-        self.key_reserved_until = 0.0  # while the memory of its key is accounted
-        self.wake_at = 0.0  # the time of its one timer that counts
+        self.key: KeyReservation | None = None
+        self.wake_at: float | None = None  # the time of its one timer that counts; None: none does
         self.started_at = 0.0
         self.cpu_ms = 0.0
         self.dependency_ms = 0.0  # spent in calls
--- a/myrtlecrank/serve.py
+++ b/myrtlecrank/serve.py
@@ -187,7 +187,12 @@
 
         fleet = FleetActor(operator_options.fleet, configuration.name, configuration.settings.seed)
     edge = EdgeServer(
-        configuration.listen_address, configuration.sockets, core, spawn, operator_options.accepting
+        configuration.listen_address,
+        configuration.sockets,
+        core,
+        spawn,
+        operator_options.accepting,
+        configuration.memory_mb,
     )
     actors = _Actors(core, agent, membership_list, dependency, edge, fleet)
     reloader = _Reloader(configuration, operator_options, read_configuration, load_operator_options, actors)
--- a/rig/processes/flood_client.py
+++ b/rig/processes/flood_client.py
@@ -19,6 +19,8 @@
 MAX_FIELDS = 255
 LARGE_SUBJECT_BYTES = 14_000
 LARGE_FRAME_BYTES = 262_144
+LONGEST_BUFFERED_BYTES = 16_384
+MISSING_BYTES = 100
 PART_OF_LARGE_FRAME_BYTES = 200_000
 SLOW_WRITE_BYTES = 2048
 SLOW_WRITE_PAUSE_S = 0.02
@@ -80,7 +82,7 @@
     "large-subject": lambda seeded, stream: request(seeded, stream, o="s" * LARGE_SUBJECT_BYTES),
     "large-tenant": lambda seeded, stream: request(seeded, stream, t="t" * LARGE_SUBJECT_BYTES),
 }
-SILENT_KINDS = ("half-frame", "slow-frame")
+SILENT_KINDS = ("half-frame", "slow-frame", "half-large-request")
 ALL_KINDS = (*KINDS, *SILENT_KINDS)
 
 
@@ -102,9 +104,10 @@
 
 def _send_part_of_a_frame(sock: socket.socket, kind: str, until: float) -> None:
     """Sends part of a frame of the greatest length: at once and then nothing more, or slowly."""
-    raw = LARGE_FRAME_BYTES.to_bytes(4, "little") + bytes([REQUEST]) + (1).to_bytes(4, "little")
-    raw += bytes(PART_OF_LARGE_FRAME_BYTES)
-    if kind == "half-frame":
+    length = LONGEST_BUFFERED_BYTES if kind == "half-large-request" else LARGE_FRAME_BYTES
+    raw = length.to_bytes(4, "little") + bytes([REQUEST]) + (1).to_bytes(4, "little")
+    raw += bytes(min(length - MISSING_BYTES, PART_OF_LARGE_FRAME_BYTES))
+    if kind != "slow-frame":
         sock.sendall(raw)
     at = 0
     while time.monotonic() < until:
