Every reader gives the others their turn after a bounded number of steps

A read returns at once while there is data; the readers of the layer below, the list and the peers never gave up their turn, the agent's did by gevent.sleep(0) after a whole buffer. Links to a fleet's address could hold 8 MB each before their Hello, and operators' links had no number.

Change: yield_to_io after 128 notices or replies, 32 messages, or a full read; bounds on an answer of the list, on a Hello and its time, on operators. Log lines that others provoke are counted before they are made.

--- a/myrtlecrank/agent/client.py
+++ b/myrtlecrank/agent/client.py
@@ -7,13 +7,13 @@
 from itertools import accumulate
 from typing import NamedTuple
 
-import gevent
 from gevent import socket
 from gevent.event import Event as Flag
 from loguru import logger
 
 from myrtlecrank.agent import codec
 from myrtlecrank.core.connection_errors import CloseReason, reason_of_error
+from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.core.messages import (
     AgentCommand,
@@ -27,6 +27,7 @@
     SampleGauges,
 )
 from myrtlecrank.frames.ring_buffer import RingBuffer
+from myrtlecrank.log import LimitedLine
 from myrtlecrank.policy.interface import Gauges, Outcome
 
 # Pauses between attempts to connect.
@@ -39,6 +40,9 @@
 MAILBOX_MESSAGES = 4096
 READ_BUFFER_BYTES = 4096  # initial size; the buffer grows while more arrives
 MAX_LOGGED_CHARS = 120
+NOTICES_PER_TURN = 128  # that are handled before the others get their turn
+COMMAND_REFUSED = LimitedLine("WARNING", "the agent refused the command {} for exchange {}")
+UNKNOWN_NOTICE = LimitedLine("WARNING", "the agent sent an unknown notice: {!r}")
 
 
 class _Uptime(NamedTuple):
@@ -190,7 +194,7 @@
             was_filled = count == len(free)
             buffer.mark_written(count)
             self.received_since_check = True
-            for notice in codec.decode_notices(buffer):
+            for count, notice in enumerate(codec.decode_notices(buffer), 1):
                 if isinstance(notice, codec.GreetingNotice) and not self.is_connected:
                     if self._detect_restart(notice.uptime_ms):
                         # A restarted agent numbers its notices from 1 again. Subscribing from the last number
@@ -200,8 +204,10 @@
                         return CloseReason.CLOSED_LOCALLY
                     self.is_connected = self.was_ever_connected = True
                 self.handle_notice(notice)
+                if count % NOTICES_PER_TURN == 0:
+                    yield_to_io()  # thousands may arrive at once after a disconnection
             if was_filled:
-                gevent.sleep(0)  # thousands may arrive at once after a disconnection: others get their turn
+                yield_to_io()
 
     def _detect_restart(self, uptime_ms: float) -> bool:
         """Whether the agent has been up for far less than its last greeting implies.
@@ -236,7 +242,7 @@
                         setattr(gauges, name, value)
                 self.post_event(GaugesSampled(tag, gauges))
             case codec.RefusalNotice(command, exchange_id):
-                logger.warning("the agent refused the command {} for exchange {}", command, exchange_id)
+                COMMAND_REFUSED.log(command[:MAX_LOGGED_CHARS], exchange_id[:MAX_LOGGED_CHARS])
                 # A refused start ran nothing; a run that the agent doesn't know has ended.
                 if command == "launch":
                     self.post_event(RunEnded(exchange_id, Outcome.NOT_STARTED, 0.0, b"", refused=True))
@@ -245,7 +251,7 @@
             case codec.AsideNotice(number):
                 self._claim_number(number)
             case codec.UnknownNotice(line):
-                logger.warning("the agent sent an unknown notice: {!r}", line[:MAX_LOGGED_CHARS])
+                UNKNOWN_NOTICE.log(line[:MAX_LOGGED_CHARS])
 
     def _claim_number(self, number: int) -> bool:
         """Marks a notice as read. Returns False if it was read before, as after a new connection."""
--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -49,6 +49,7 @@
 from myrtlecrank.core.published_state import PublishedState
 from myrtlecrank.core.recovery import RecoveryStep, recovery_step
 from myrtlecrank.core.result_cache import ResultCache
+from myrtlecrank.log import LimitedLine
 from myrtlecrank.policy import interface
 from myrtlecrank.policy.controller import Controller
 from myrtlecrank.policy.interface import EffectKind, Gauges, Outcome
@@ -65,6 +66,10 @@
 RESYNC_TAG = "m"  # a sample's tag is one of these letters and the number of the command
 TICK_TAG = "b"
 MAX_TAG_DIGITS = 18
+EXCHANGE_TOO_EARLY = LimitedLine(
+    "WARNING", "an exchange is terminated: it arrived before the agent had connected"
+)
+IDENTIFIER_IN_USE = LimitedLine("WARNING", "an exchange is terminated: its identifier or key is in use")
 TimerCallback = Callable[[], object]
 
 
@@ -321,7 +326,7 @@
 
     def _exchange_arrived(self, request: ExchangeRequest) -> None:
         if self.controller is None:
-            logger.warning("an exchange is terminated: it arrived before the agent had connected")
+            EXCHANGE_TOO_EARLY.log()
             request.send_answer(Answer(request, Verdict.TERMINATED))
             return
         original = self.cache.find(request, self.now)
@@ -398,7 +403,7 @@
         """Terminates a request, if it still waits for the exchange that it conflicts with."""
         if self.conflicts.remove(request):
             self.unanswered -= 1
-            logger.warning("an exchange is terminated: its identifier or key is in use")
+            IDENTIFIER_IN_USE.log()
             request.send_answer(Answer(request, Verdict.TERMINATED))
 
     def _run_reported(self, report: RunEnded) -> None:
--- a/myrtlecrank/dependency/client.py
+++ b/myrtlecrank/dependency/client.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from myrtlecrank.core.connection_errors import OUTCOME_BY_REASON, CloseReason, reason_of_error
+from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.core.messages import CallEnded, CancelCall, CoreEvent, DependencyCommand, StartCall
 from myrtlecrank.dependency import codec
@@ -26,6 +27,7 @@
 MAX_SILENT_CALLS = 2.0  # durations of the longest recent call for which a connection may be silent
 LONGEST_CALL_DECAY = 0.95  # of the longest recent call, for each reply
 READ_BUFFER_BYTES = 4096  # initial size; the buffer grows while more arrives
+REPLIES_PER_TURN = 128  # that are handled before the others get their turn
 
 
 class DependencyConnection:
@@ -195,12 +197,16 @@
         buffer = RingBuffer(READ_BUFFER_BYTES)
         try:
             while True:
-                count = connection.sock.recv_into(buffer.writable_view())
-                if count == 0:
+                free = buffer.writable_view()
+                received = connection.sock.recv_into(free)
+                if received == 0:
                     return CloseReason.CLOSED_BY_PEER
-                buffer.mark_written(count)
+                was_filled = received == len(free)
+                buffer.mark_written(received)
                 connection.silent_ticks = 0
-                for reply in codec.decode_replies(buffer):
+                for count, reply in enumerate(codec.decode_replies(buffer), 1):
+                    if count % REPLIES_PER_TURN == 0:
+                        yield_to_io()
                     sent_at_ms, _ = connection.pending_calls.pop(reply.exchange_id, (None, 0.0))
                     if sent_at_ms is not None:
                         call_ms = self.now - sent_at_ms
@@ -208,6 +214,8 @@
                         self.post_event(CallEnded(reply.exchange_id, reply.outcome, reply.result))
                 if connection is not self.connection and not connection.pending_calls:
                     return CloseReason.CLOSED_LOCALLY
+                if was_filled:
+                    yield_to_io()  # a link that always has data never waits
         except OSError as error:
             return reason_of_error(error)
         except codec.ProtocolError as error:
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from myrtlecrank.core.clock import unix_ms
+from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.core.messages import Answer, ExchangeArrived, ExchangeRequest, Verdict
 from myrtlecrank.core.published_state import PublishedState
@@ -14,6 +15,7 @@
 from myrtlecrank.policy.interface import EffectKind
 
 MAILBOX_MESSAGES = 256
+ANSWERS_PER_TURN = 128  # that are written before the others get their turn
 MAX_CLOCK_AHEAD_MS = 1000.0  # how far an arrival stamp may be ahead of our clock
 # Async timeouts of its group that a caller may claim to wait; it never waits for more than one.
 MAX_WAIT_TIMEOUTS = 2.0
@@ -65,8 +67,9 @@
 
     def run(self) -> None:
         """Delivers answers until None arrives, which is posted when the last connection is gone."""
-        while self._deliver(self.mailbox.take()):
-            pass
+        while self._deliver(self.mailbox.take(max_count=ANSWERS_PER_TURN)):
+            if self.mailbox:
+                yield_to_io()
 
     def deliver_pending(self) -> None:
         """Delivers the answers in the mailbox, which would be lost when the process ends."""
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -8,7 +8,6 @@
 import gevent
 from gevent import socket
 from gevent.event import Event as Flag
-from loguru import logger
 
 from myrtlecrank.core.clock import now_ms
 from myrtlecrank.core.connection_errors import CloseReason, reason_of_error
@@ -19,6 +18,7 @@
 from myrtlecrank.edge.turns import FRAMES_PER_TURN, TurnScheduler
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring_buffer import RingBuffer
+from myrtlecrank.log import LimitedLine
 
 READ_BUFFER_BYTES = 2048  # initial size; the buffer grows while more arrives
 MAX_DISCARDING_READS = 16
@@ -31,6 +31,8 @@
 FIRST_PEER_CHECK_S = 0.001
 MAX_PEER_CHECK_S = 0.1
 MAX_STREAM_GAPS = 1024  # streams beyond a gap in their numbers that are remembered one by one
+CONNECTION_ENDS = LimitedLine("WARNING", "a connection ends, as it brought {}")
+EXCHANGE_INVALID = LimitedLine("WARNING", "an exchange is terminated: it brought {}")
 FrameHandler = Callable[["Connection", codec.Request | codec.Abandoned], None]
 
 
@@ -84,7 +86,7 @@
         try:
             self._read()
         except codec.ProtocolError as error:
-            logger.warning("a connection ends, as it brought {}", error)
+            CONNECTION_ENDS.log(error)
             self.read_close_reason = CloseReason.PROTOCOL_ERROR
             self.send(codec.encode_connection_error(self.published_state.published_value))
         except OSError as error:
@@ -214,7 +216,7 @@
 
     def reject(self, stream: int, reason: str) -> None:
         """Terminates an exchange that cannot be taken in; the rest of the connection goes on."""
-        logger.warning("an exchange is terminated: it brought {}", reason)
+        EXCHANGE_INVALID.log(reason)
         self.open_streams.pop(stream, None)
         self.queue(codec.encode_answer(stream, codec.TERMINATED, self.published_state.published_value))
 
--- a/myrtlecrank/edge/server.py
+++ b/myrtlecrank/edge/server.py
@@ -22,12 +22,14 @@
 from myrtlecrank.edge.limits import DEFAULT_MEMORY_MB, BufferPool, edge_limits
 from myrtlecrank.edge.turns import TurnScheduler
 from myrtlecrank.frames import codec
+from myrtlecrank.log import LimitedLine
 
 BACKLOG_CONNECTIONS = 512
 ACCEPTS_PER_PASS = 8  # between two looks at all other sockets
 NO_DESCRIPTOR_PAUSE_S = 0.05
 MAX_SWEEP_ELAPSED_MS = 200.0  # that one sweep counts, so that a pause of this process closes nothing
 GO_AWAY_TIMEOUT_MS = 2000.0  # a caller that has not closed an idle connection by then is considered gone
+CONNECTION_ENDED = LimitedLine("INFO", "a connection {} with {} open")
 # The system's errors when descriptors or socket memory run out.
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -226,11 +228,8 @@
         ]
         connection.open_streams.clear()
         if unanswered:
-            logger.info(
-                "a connection {} with {} open",
-                (connection.close_reason or CloseReason.CLOSED_LOCALLY).value,
-                len(unanswered),
-            )
+            reason = connection.close_reason or CloseReason.CLOSED_LOCALLY
+            CONNECTION_ENDED.log(reason.value, len(unanswered))
             self.core.mailbox.put(ExchangesAbandoned(unanswered))
         if connection.caller is not None:
             caller = self.callers[connection.caller]
--- a/myrtlecrank/fleet/peer_links.py
+++ b/myrtlecrank/fleet/peer_links.py
@@ -17,7 +17,9 @@
 from gevent.event import Event
 from loguru import logger
 
+from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.fleet.messages import VERSION, Hello, Message
+from myrtlecrank.log import LimitedLine
 
 LENGTH_PREFIX = struct.Struct("<I")
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024  # a voter's whole memory fits
@@ -31,6 +33,9 @@
 RECONNECT_MAX_S = 1.0
 RECONNECT_REFUSED_S = 10.0  # after a refusal, which a quick retry would not change
 MAX_UNIDENTIFIED_CONNECTIONS = 64  # accepted connections whose Hello has not arrived yet
+MAX_OPERATOR_CONNECTIONS = 8  # at a time; a command line holds one for one question
+MAX_SMALL_MESSAGE_BYTES = 65536  # of a Hello and of an operator's messages
+MESSAGES_PER_TURN = 32  # of one link, that are read before the others get their turn
 OPERATOR = ""  # the name in the Hello of a command line; never treated as a member
 MAX_LOGGED_NAME_CHARS = 60
 MAX_LOGGED_ERROR_CHARS = 120
@@ -50,11 +55,15 @@
 
 
 class MessageReader:
-    """Reads messages from a socket. Buffers at most one message and what was received with its end."""
+    """Reads messages from a socket. Buffers at most one message and what was received with its end.
 
-    def __init__(self, sock: socket.socket) -> None:
+    `max_message_bytes` may be raised once it is known who sends."""
+
+    def __init__(self, sock: socket.socket, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
         self.sock = sock
+        self.max_message_bytes = max_message_bytes
         self.buffer = bytearray()
+        self.messages_in_turn = 0
 
     def next(self) -> Message | None:
         """The next message; None once the other end has closed the connection.
@@ -64,15 +73,15 @@
         while True:
             if len(self.buffer) >= LENGTH_PREFIX.size:
                 (length,) = LENGTH_PREFIX.unpack_from(self.buffer)
-                if length > MAX_MESSAGE_BYTES:
+                if length > self.max_message_bytes:
                     # Nothing of it is read: an arbitrary length could exhaust the memory.
-                    raise RefusedError(
-                        f"announced a message of {length} bytes; at most {MAX_MESSAGE_BYTES} are accepted"
-                    )
+                    limit = self.max_message_bytes
+                    raise RefusedError(f"announced a message of {length} bytes; at most {limit} are accepted")
                 end = LENGTH_PREFIX.size + length
                 if len(self.buffer) >= end:
                     raw = bytes(self.buffer[LENGTH_PREFIX.size : end])
                     del self.buffer[:end]
+                    self._end_turn_if_due()
                     try:
                         return DECODER.decode(raw)
                     except msgspec.MsgspecError as error:
@@ -82,6 +91,14 @@
             if not data:
                 return None
             self.buffer += data
+            if len(data) == RECEIVE_BYTES:
+                yield_to_io()  # a socket that always has data never waits
+
+    def _end_turn_if_due(self) -> None:
+        self.messages_in_turn += 1
+        if self.messages_in_turn >= MESSAGES_PER_TURN:
+            self.messages_in_turn = 0
+            yield_to_io()
 
 
 class Peer:
@@ -142,6 +159,8 @@
         self.listener.bind(addresses[name])
         self.listener.listen(LISTEN_BACKLOG)
         self.unidentified_connections = 0
+        self.operator_connections = 0
+        self.link_refused_line = LimitedLine("WARNING", "a fleet link is refused: it {}")
         self.is_closed = False
 
     def send(self, to: str, message: Message) -> None:
@@ -195,23 +214,25 @@
 
     def _handle_accepted(self, sock: socket.socket) -> None:
         self.unidentified_connections += 1
-        reader = MessageReader(sock)
+        reader = MessageReader(sock, MAX_SMALL_MESSAGE_BYTES)
         peer = None
         try:
             try:
-                name = self._read_hello(reader, sock, None)
+                with gevent.Timeout(HELLO_TIMEOUT_S):  # however slowly it comes
+                    name = self._read_hello(reader, sock, None)
             finally:
                 self.unidentified_connections -= 1
             sock.sendall(self.hello)
             if name == OPERATOR:
                 self._serve_operator(reader, sock)
                 return
+            reader.max_message_bytes = MAX_MESSAGE_BYTES
             peer = self.peers[name]
             if peer.sock is not None:
                 peer.close()  # the peer has reconnected, so the old connection is dead
             self._serve(peer, sock, reader)
         except RefusedError as error:
-            logger.warning("a fleet link is refused: it {}", error)
+            self.link_refused_line.log(error)
         except (OSError, gevent.Timeout):
             pass
         finally:
@@ -279,10 +300,16 @@
                 return
 
     def _serve_operator(self, reader: MessageReader, sock: socket.socket) -> None:
-        while (message := reader.next()) is not None:
-            answer = self.answer_operator(message)
-            if answer is not None:
-                sock.sendall(encode_frame(answer))
+        if self.operator_connections >= MAX_OPERATOR_CONNECTIONS:
+            return
+        self.operator_connections += 1
+        try:
+            while (message := reader.next()) is not None:
+                answer = self.answer_operator(message)
+                if answer is not None:
+                    sock.sendall(encode_frame(answer))
+        finally:
+            self.operator_connections -= 1
 
     def _log_error(self, peer: Peer, error: str) -> None:
         if peer.logged_error != error:
--- a/myrtlecrank/log.py
+++ b/myrtlecrank/log.py
@@ -45,6 +45,34 @@
         return window.line_count <= MAX_LINES
 
 
+class LimitedLine:
+    """A line that others can provoke as often as they like: few are written, the rest is counted.
+
+    It has the same limit as RateLimitFilter, which a line only reaches once all of its record was made."""
+
+    def __init__(self, level: str, template: str) -> None:
+        self.level = level
+        self.template = template
+        self.window = _Window(-WINDOW_S, 0)
+
+    def log(self, *arguments: object) -> None:
+        """Writes the line with these arguments, unless too many like it were written in this window."""
+        left_out = self._open_window(time.monotonic())
+        self.window.line_count += 1
+        if self.window.line_count > MAX_LINES:
+            return
+        more = f" (and {left_out} more like it since the last line)" if left_out else ""
+        logger.opt(depth=1).log(self.level, self.template + more, *arguments)
+
+    def _open_window(self, now: float) -> int:
+        """Begins a new window if it is time. Returns how many lines the last one left out."""
+        if now - self.window.started_at <= WINDOW_S:
+            return 0
+        left_out = max(0, self.window.line_count - MAX_LINES)
+        self.window = _Window(now, 0)
+        return left_out
+
+
 def to_stderr() -> None:
     """Sends all log lines to standard error, in place of any earlier destination."""
     logger.remove()
--- a/myrtlecrank/membership_list/client.py
+++ b/myrtlecrank/membership_list/client.py
@@ -19,6 +19,7 @@
 REPORT_TIMEOUT_S = 1.0
 MAILBOX_MESSAGES = 64
 LOGGED_MISSES = 3  # reports in a row without an answer that are logged
+MAX_RESPONSE_BYTES = 65_536  # a longer answer is none: nothing is read of what never ends
 HTTP_NO_CONTENT = 204
 
 
@@ -128,12 +129,17 @@
             while outgoing:
                 outgoing.discard(sock.send(outgoing.readable_view()))
             self.is_report_sent = True
+            received_bytes = 0
             while not response.is_complete:
+                if received_bytes > MAX_RESPONSE_BYTES:
+                    self._close()
+                    return CloseReason.PROTOCOL_ERROR
                 count = sock.recv_into(incoming.writable_view())
                 if not count:
                     self._close()
                     return CloseReason.CLOSED_BY_PEER
                 incoming.mark_written(count)
+                received_bytes += count
                 response.parser.feed_data(incoming.read(count))
             if not response.parser.should_keep_alive():
                 self._close()
