An identifier of a mutating exchange that ran never runs again

Cause: an entry leaves the table with the end of its run, and nothing of a mutating exchange was kept.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -18,6 +18,7 @@
 from myrtlecrank.core.connection_errors import OUTCOME_BY_REASON, CloseReason
 from myrtlecrank.core.event_loop import yield_to_io
 from myrtlecrank.core.exchange_entry import ExchangeEntry
+from myrtlecrank.core.executed_identifiers import ExecutedIdentifiers
 from myrtlecrank.core.mailbox import Mailbox
 from myrtlecrank.core.messages import (
     AgentCommand,
@@ -118,6 +119,7 @@
         self.connected_at_command = 0
         self.last_sample_command = 0
         self.conflicts = Conflicts()
+        self.executed_identifiers = ExecutedIdentifiers()
         # Running entries whose start commands were not sent, or may have been lost.
         self.entries_in_doubt: dict[ExchangeEntry, None] = {}
         self.alarm = ("", 0.0)  # the name and delay that the controller asked for last
@@ -329,6 +331,10 @@
             EXCHANGE_TOO_EARLY.log()
             request.send_answer(Answer(request, Verdict.TERMINATED))
             return
+        if request.exchange_id in self.executed_identifiers:
+            IDENTIFIER_IN_USE.log()
+            request.send_answer(Answer(request, Verdict.TERMINATED))
+            return
         original = self.cache.find(request, self.now)
         conflicting = self.entries_by_id.get(request.exchange_id)
         if conflicting is None and original is not None and self.cache.is_deduplicated(original):
@@ -434,6 +440,8 @@
         """Records the outcome, answers the entry and its waiters, and evicts what no other may share."""
         assert self.controller is not None
         entry.outcome = outcome
+        if outcome not in PROVEN_NOT_EXECUTED and self._is_mutating(entry):
+            self.executed_identifiers.add(entry.request.exchange_id)
         entry.ended_at = self.now
         entry.result = result
         if outcome is Outcome.OK:
@@ -452,6 +460,9 @@
             self.cache.evict(entry)
         self._remove_if_done(entry)
 
+    def _is_mutating(self, entry: ExchangeEntry) -> bool:
+        return self.settings.groups[entry.request.group].kind is EffectKind.MUTATING
+
     def _answer(
         self,
         entry: ExchangeEntry,
