Requests that lie unread when their caller closes are not submitted

Seen: a caller that sent 30 requests and closed before they were read had all of them submitted to the core.

Cause: unread bytes stay readable after the other side has closed; the reader met the end only behind them.

--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import select
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -33,6 +35,7 @@
 MAX_STREAM_GAPS = 1024  # streams beyond a gap in their numbers that are remembered one by one
 CONNECTION_ENDS = LimitedLine("WARNING", "a connection ends, as it brought {}")
 EXCHANGE_INVALID = LimitedLine("WARNING", "an exchange is terminated: it brought {}")
+RESET_EVENTS = select.POLLERR | select.POLLHUP | select.POLLNVAL
 FrameHandler = Callable[["Connection", codec.Request | codec.Abandoned], None]
 
 
@@ -80,6 +83,11 @@
         self.frames_at_last_check = 0
         self.incomplete_ms = 0.0
         self.write_progress = Flag()
+        self.end_poll = select.poll()  # reports the end of the input, and resets
+        self.end_poll.register(sock.fileno(), select.POLLRDHUP)
+        self.is_input_end_known = (
+            False  # the caller was told to send nothing more, after the end of its input
+        )
 
     def run(self) -> CloseReason:
         """Reads until the connection ends or sends nothing more, then answers what was read by then."""
@@ -116,6 +124,8 @@
         self.is_awaiting_turn = True
         self.turns.wait(self.account.priority(now_ms()))
         self.is_awaiting_turn = False
+        if self.close_reason is None and self._caller_is_gone():
+            raise ConnectionResetError(errno.ECONNRESET, "the caller has closed the connection")
         frames_before = self.frames_received
         for frame in self.decoder.frames(FRAMES_PER_TURN):
             self._dispatch(frame)
@@ -127,6 +137,24 @@
             self.write_progress.clear()
             self.write_progress.wait()
 
+    def _caller_is_gone(self) -> bool:
+        """Whether the caller has closed the connection, although more that it sent before lies unread.
+
+        What is left must not be submitted then. The end of the input alone may be a caller that only shut its
+        sending side: writing shows which it is, at once where the caller is near."""
+        events = self._end_events()
+        if events & select.POLLRDHUP and not events & RESET_EVENTS and not self.is_input_end_known:
+            self.is_input_end_known = True
+            self.send(codec.encode_go_away())
+            gevent.sleep(FIRST_PEER_CHECK_S)
+            events = self._end_events()
+        return bool(events & RESET_EVENTS)
+
+    def _end_events(self) -> int:
+        if self.close_reason is not None:
+            return select.POLLNVAL
+        return sum(events for _, events in self.end_poll.poll(0.0))
+
     def _finish_open_streams(self, read_end: CloseReason) -> None:
         """Waits until the open streams are answered, then ends the connection.
 
@@ -134,7 +162,7 @@
         for the answers to earlier exchanges. Only writing shows whether one that shut its side is gone
         altogether; a GO_AWAY frame is redundant for one that is still connected.
         """
-        if read_end is CloseReason.CLOSED_BY_PEER and self.open_streams:
+        if read_end is CloseReason.CLOSED_BY_PEER and self.open_streams and not self.is_input_end_known:
             self.send(codec.encode_go_away())
         pause_s = FIRST_PEER_CHECK_S
         while (self.open_streams or self.outgoing) and self.close_reason is None:
