Exchanges read in the background give way to those of sound callers

Seen: beside floods of unknown identifiers or ever new callers 5, 5, 7 and 0 of 180 and 6 of 450 requests of an edge node were denied, as the flood's exchanges stood in the same queue; the long wait of what is read in the background, and a stamp from long ago, lowered the published value for all.

Change: an exchange that was read in the background has a tenth of its value, so a sound one displaces it and starts first, and it is left out of the reading delay; a stamp counts as one async timeout at the most. A turn that ends with an error counts like any other.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -353,6 +353,7 @@
             tenant=request.tenant,
             rank=request.rank,
             names_subject=bool(request.result_key),
+            is_from_background=request.is_from_background,
             original=original.exchange if original else None,
         )
         exchange_estimates.estimate_arrival(
--- a/myrtlecrank/core/messages.py
+++ b/myrtlecrank/core/messages.py
@@ -35,6 +35,7 @@
     result_key: str  # the subject of a read, or the key of a deduplicated exchange
     body: bytes
     send_answer: Callable[[Answer], None]  # takes the final answer; must not block
+    is_from_background: bool = False  # its connection sends far more than it gets completed
     connection: object = None  # that brought it, compared by identity; None: unknown
     conflict_wait_end: float | None = None  # until when it waits for others with its identifier or key
     reply_context: Any = None  # where the answer goes; used by the edge alone
--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -11,6 +11,7 @@
 from myrtlecrank.core.messages import Answer, ExchangeArrived, ExchangeRequest, Verdict
 from myrtlecrank.core.published_state import PublishedState
 from myrtlecrank.edge.connection import Connection
+from myrtlecrank.edge.read_account import ReadPriority
 from myrtlecrank.frames import codec
 from myrtlecrank.policy.interface import EffectKind
 
@@ -138,6 +139,7 @@
             result_key=(request.key if is_deduplicated else request.subject) or "",
             body=request.body,
             send_answer=self.mailbox.post,
+            is_from_background=connection.turn_priority is ReadPriority.BACKGROUND,
             connection=connection,
             reply_context=(connection, request.stream),
         )
--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -16,7 +16,7 @@
 from myrtlecrank.core.messages import ExchangeRequest
 from myrtlecrank.core.published_state import PublishedState
 from myrtlecrank.edge.limits import MAX_UNSENT_BYTES, BufferPool
-from myrtlecrank.edge.read_account import ReadAccount
+from myrtlecrank.edge.read_account import ReadAccount, ReadPriority
 from myrtlecrank.edge.turns import FRAMES_PER_TURN, TurnScheduler
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring_buffer import RingBuffer
@@ -58,6 +58,7 @@
         self.sock = sock
         self.turns = turns
         self.account = ReadAccount(now)
+        self.turn_priority = ReadPriority.NEW  # of the present turn
         self.published_state = published_state
         self.handle_frame = handle_frame
         self._send: Callable[..., int] = sock.send  # gevent's send takes a time-out as well
@@ -85,9 +86,8 @@
         self.write_progress = Flag()
         self.end_poll = select.poll()  # reports the end of the input, and resets
         self.end_poll.register(sock.fileno(), select.POLLRDHUP)
-        self.is_input_end_known = (
-            False  # the caller was told to send nothing more, after the end of its input
-        )
+        # The caller was told to send nothing more, after the end of its input.
+        self.is_input_end_known = False
 
     def run(self) -> CloseReason:
         """Reads until the connection ends or sends nothing more, then answers what was read by then."""
@@ -122,21 +122,28 @@
 
         A connection that always has data never waits for it, so it must wait here."""
         self.is_awaiting_turn = True
-        self.turns.wait(self.account.priority(now_ms()))
+        self.turn_priority = self.account.priority(now_ms())
+        self.turns.wait(self.turn_priority)
         self.is_awaiting_turn = False
-        if self.close_reason is None and self._caller_is_gone():
-            raise ConnectionResetError(errno.ECONNRESET, "the caller has closed the connection")
         frames_before = self.frames_received
-        for frame in self.decoder.frames(FRAMES_PER_TURN):
-            self._dispatch(frame)
-        frame_count = self.frames_received - frames_before
-        self.account.charge(frame_count, received_bytes)
-        self.turns.end_turn(frame_count)
+        try:
+            self._handle_frames()
+        finally:
+            frame_count = self.frames_received - frames_before
+            self.account.charge(frame_count, received_bytes)
+            self.turns.end_turn(frame_count)
         self.flush()
         while len(self.outgoing) > MAX_UNSENT_BYTES and self.close_reason is None:
             self.write_progress.clear()
             self.write_progress.wait()
 
+    def _handle_frames(self) -> None:
+        """Handles the frames of one turn, unless the caller is gone."""
+        if self.close_reason is None and self._caller_is_gone():
+            raise ConnectionResetError(errno.ECONNRESET, "the caller has closed the connection")
+        for frame in self.decoder.frames(FRAMES_PER_TURN):
+            self._dispatch(frame)
+
     def _caller_is_gone(self) -> bool:
         """Whether the caller has closed the connection, although more that it sent before lies unread.
 
--- a/myrtlecrank/policy/controller.py
+++ b/myrtlecrank/policy/controller.py
@@ -86,6 +86,7 @@
 CALM_QUEUE_WAIT_MULTIPLE = 1.6  # while the CPU is not saturated
 MAX_QUEUE_WAIT = 0.8  # as a multiple of the SLO time, on any number of cores
 LATEST_START_RUN_FRACTION = 0.7  # a run this part of the expected run before the deadline is still of use
+BACKGROUND_VALUE_FRACTION = 0.1  # of the value of an exchange that was read in the background
 DISPLACEMENT_FRACTION = 0.8  # a queued exchange is displaced where its value is below this part
 
 # Retry storm
@@ -442,24 +443,31 @@
         self.used_kb += exchange.memory_kb
         if self.tenant_allowances:
             self.tenant_rates[exchange.tenant] += 1.0 / self.tenant_windows_ms[exchange.tenant]
-        # Being read takes a while on an idle backend too; only what goes beyond the least delay is waiting.
-        self.least_read_delay_ms = min(self.least_read_delay_ms, exchange.read_delay)
-        self.window_least_read_delay_ms = min(self.window_least_read_delay_ms, exchange.read_delay)
-        self.mean_read_delay_ms += READ_DELAY_SMOOTHING * (
-            exchange.read_delay - self.least_read_delay_ms - self.mean_read_delay_ms
-        )
+        if not exchange.is_from_background:
+            self._learn_read_delay(min(exchange.read_delay, state.group.timeout))
         state.value = self._initial_value(state)
         state.flow = self._exchange_flow(state)
         self._advance(state, None)
 
+    def _learn_read_delay(self, read_delay_ms: float) -> None:
+        """Being read takes a while on an idle backend too; only what goes beyond that is waiting."""
+        self.least_read_delay_ms = min(self.least_read_delay_ms, read_delay_ms)
+        self.window_least_read_delay_ms = min(self.window_least_read_delay_ms, read_delay_ms)
+        self.mean_read_delay_ms += READ_DELAY_SMOOTHING * (
+            read_delay_ms - self.least_read_delay_ms - self.mean_read_delay_ms
+        )
+
     def _initial_value(self, state: ExchangeState) -> float:
-        """Benefit for each ms of work; less for a tenant beyond this backend's part of its allowance."""
+        """Benefit for each ms of work.
+
+        It is less for a tenant beyond this backend's part of its allowance, and where a connection sends far
+        more than it gets completed."""
         value = state.group.benefit if self.benefit_by_work else state.group.benefit / state.group.mean_run_ms
         if self.tenant_allowances:
             tenant = state.exchange.tenant
             within_allowance = min(1.0, self.tenant_allowances[tenant] / max(1e-9, self.tenant_rates[tenant]))
             value *= within_allowance + (1.0 - within_allowance) * self.over_share_benefit
-        return value
+        return value * BACKGROUND_VALUE_FRACTION if state.exchange.is_from_background else value
 
     def _expected_run_ms(self, state: ExchangeState) -> float:
         return state.group.mean_run_ms * self.slowness * state.group.relative_work(state.exchange.work_hint)
--- a/myrtlecrank/policy/interface.py
+++ b/myrtlecrank/policy/interface.py
@@ -135,6 +135,7 @@
     rank: float = 0.0
     is_marked_retry: bool = False
     names_subject: bool = False  # names what it is about, so that reads of the same may share an answer
+    is_from_background: bool = False  # its connection sends far more than it gets completed
     work_hint: float = 0.0  # expected work; 0 where there is no hint
     # Probability that it retries an abandoned exchange; 0 where nothing is known.
     retry_probability: float = 0.0
--- a/rig/processes/flood_play.py
+++ b/rig/processes/flood_play.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -232,6 +233,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.run_numbers = itertools.count(1)
         self.floods: list[subprocess.Popen[bytes]] = []
         self._wait_until_up()
 
@@ -253,6 +255,7 @@
     def run_edge_node(self, seconds: float) -> EdgeNodeResult:
         """Sends requests at even intervals and waits for their answers."""
         result = EdgeNodeResult()
+        run_number = next(self.run_numbers)
         connections = [EdgeNodeConnection(self.address, result)]
         began = time.monotonic()
         while (due := began + result.sent * INTERVAL_S) < began + seconds:
@@ -260,7 +263,7 @@
             if connections[-1].was_told_away:
                 connections.append(EdgeNodeConnection(self.address, result))
             result.sent += 1
-            identifier = f"{int(began * 1000) % 2**32:08x}{result.sent:08x}"
+            identifier = f"{run_number:08x}{result.sent:08x}"
             self.agent.known.add(identifier)
             connections[-1].send(identifier)
         gevent.sleep(LATE_MS / 1000.0)
