Stuck connections and the end of a caller's input are modules of their own

The flood client knows reconnecting, resetting, silent and deaf clients. Behaviour as before: tests of the edge and of departed callers pass.

--- a/myrtlecrank/edge/connection.py
+++ b/myrtlecrank/edge/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-import select
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -15,7 +14,9 @@
 from myrtlecrank.core.connection_errors import CloseReason, reason_of_error
 from myrtlecrank.core.messages import ExchangeRequest
 from myrtlecrank.core.published_state import PublishedState
+from myrtlecrank.edge.input_end import InputEnd, InputState
 from myrtlecrank.edge.limits import MAX_UNSENT_BYTES, BufferPool
+from myrtlecrank.edge.progress import ConnectionState, ProgressMonitor
 from myrtlecrank.edge.read_account import ReadAccount, ReadPriority
 from myrtlecrank.edge.turns import FRAMES_PER_TURN, TurnScheduler
 from myrtlecrank.frames import codec
@@ -24,8 +25,6 @@
 
 READ_BUFFER_BYTES = 2048  # initial size; the buffer grows while more arrives
 MAX_DISCARDING_READS = 16
-STALLED_LIMIT_MS = 5000.0  # a reader that takes nothing for this long is considered gone
-INCOMPLETE_LIMIT_MS = 2000.0  # a frame, including the first of a connection, must be complete by then
 # Limits on the input that is still read, and dropped, before a close.
 LINGER_S = 0.5
 LINGER_BYTES = 262_144
@@ -35,7 +34,6 @@
 MAX_STREAM_GAPS = 1024  # streams beyond a gap in their numbers that are remembered one by one
 CONNECTION_ENDS = LimitedLine("WARNING", "a connection ends, as it brought {}")
 EXCHANGE_INVALID = LimitedLine("WARNING", "an exchange is terminated: it brought {}")
-RESET_EVENTS = select.POLLERR | select.POLLHUP | select.POLLNVAL
 FrameHandler = Callable[["Connection", codec.Request | codec.Abandoned], None]
 
 
@@ -78,16 +76,11 @@
         # Why nothing more is read. Open streams are still answered.
         self.read_close_reason: CloseReason | None = None
         self.bytes_sent = 0
-        self.bytes_sent_at_last_check = 0
-        self.stalled_ms = 0.0
         self.frames_received = 0
-        self.frames_at_last_check = 0
-        self.incomplete_ms = 0.0
+        self.progress = ProgressMonitor()
         self.write_progress = Flag()
-        self.end_poll = select.poll()  # reports the end of the input, and resets
-        self.end_poll.register(sock.fileno(), select.POLLRDHUP)
-        # The caller was told to send nothing more, after the end of its input.
-        self.is_input_end_known = False
+        self.input_end = InputEnd(sock.fileno())
+        self.is_input_end_answered = False  # by a GO_AWAY frame
 
     def run(self) -> CloseReason:
         """Reads until the connection ends or sends nothing more, then answers what was read by then."""
@@ -149,18 +142,13 @@
 
         What is left must not be submitted then. The end of the input alone may be a caller that only shut its
         sending side: writing shows which it is, at once where the caller is near."""
-        events = self._end_events()
-        if events & select.POLLRDHUP and not events & RESET_EVENTS and not self.is_input_end_known:
-            self.is_input_end_known = True
+        state = self.input_end.state()
+        if state is InputState.ENDED and not self.is_input_end_answered:
+            self.is_input_end_answered = True
             self.send(codec.encode_go_away())
             gevent.sleep(FIRST_PEER_CHECK_S)
-            events = self._end_events()
-        return bool(events & RESET_EVENTS)
-
-    def _end_events(self) -> int:
-        if self.close_reason is not None:
-            return select.POLLNVAL
-        return sum(events for _, events in self.end_poll.poll(0.0))
+            state = self.input_end.state() if self.close_reason is None else InputState.RESET
+        return state is InputState.RESET
 
     def _finish_open_streams(self, read_end: CloseReason) -> None:
         """Waits until the open streams are answered, then ends the connection.
@@ -169,7 +157,7 @@
         for the answers to earlier exchanges. Only writing shows whether one that shut its side is gone
         altogether; a GO_AWAY frame is redundant for one that is still connected.
         """
-        if read_end is CloseReason.CLOSED_BY_PEER and self.open_streams and not self.is_input_end_known:
+        if read_end is CloseReason.CLOSED_BY_PEER and self.open_streams and not self.is_input_end_answered:
             self.send(codec.encode_go_away())
         pause_s = FIRST_PEER_CHECK_S
         while (self.open_streams or self.outgoing) and self.close_reason is None:
@@ -337,21 +325,17 @@
         One call on each sampling tick is cheaper than a time-out on every socket call. `elapsed_ms` counts
         only time in which this process ran.
         """
-        if not self.is_flushing or self.bytes_sent != self.bytes_sent_at_last_check:
-            self.bytes_sent_at_last_check = self.bytes_sent
-            self.stalled_ms = 0.0
-        else:
-            self.stalled_ms += elapsed_ms
-            if self.stalled_ms > STALLED_LIMIT_MS:
-                self.close(CloseReason.NOT_READING)
-        has_new_frame = self.frames_received != self.frames_at_last_check
-        if has_new_frame or (self.frames_received and not self.decoder.is_mid_frame()):
-            self.frames_at_last_check = self.frames_received
-            self.incomplete_ms = 0.0
-        elif self.is_reading:
-            self.incomplete_ms += elapsed_ms
-            if self.incomplete_ms > INCOMPLETE_LIMIT_MS and not (self.open_streams or self.outgoing):
-                self.close(CloseReason.INCOMPLETE_FRAME)
+        state = ConnectionState(
+            self.bytes_sent,
+            self.is_flushing,
+            self.frames_received,
+            self.decoder.is_mid_frame(),
+            self.is_reading,
+            has_pending_answers=bool(self.open_streams or self.outgoing),
+        )
+        reason = self.progress.check(state, elapsed_ms)
+        if reason is not None:
+            self.close(reason)
 
     def _check_peer(self) -> None:
         """Closes the connection if the caller has reset it.
--- a/rig/processes/flood_client.py
+++ b/rig/processes/flood_client.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import random
+import struct
 import sys
 import time
 from collections.abc import Callable
@@ -82,8 +83,10 @@
     "large-subject": lambda seeded, stream: request(seeded, stream, o="s" * LARGE_SUBJECT_BYTES),
     "large-tenant": lambda seeded, stream: request(seeded, stream, t="t" * LARGE_SUBJECT_BYTES),
 }
-SILENT_KINDS = ("half-frame", "slow-frame", "half-large-request")
-ALL_KINDS = (*KINDS, *SILENT_KINDS)
+# A new connection for each request: closed once answered, or reset at once.
+RECONNECTING_KINDS = ("reconnect", "reset")
+SILENT_KINDS = ("silent", "half-frame", "slow-frame", "half-large-request")
+DEAF_KINDS = ("deaf-health-checks", "deaf-unknown-group")  # they read nothing of what they are sent
 
 
 def _read_all(sock: socket.socket) -> None:
@@ -102,12 +105,20 @@
         sock.sendall(batch)
 
 
+def _send_one_request(sock: socket.socket, kind: str, seeded: random.Random) -> None:
+    sock.sendall(request(seeded, 1, c="no-such-group"))
+    if kind == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    else:
+        sock.recv(65536)
+
+
 def _send_part_of_a_frame(sock: socket.socket, kind: str, until: float) -> None:
     """Sends part of a frame of the greatest length: at once and then nothing more, or slowly."""
     length = LONGEST_BUFFERED_BYTES if kind == "half-large-request" else LARGE_FRAME_BYTES
     raw = length.to_bytes(4, "little") + bytes([REQUEST]) + (1).to_bytes(4, "little")
     raw += bytes(min(length - MISSING_BYTES, PART_OF_LARGE_FRAME_BYTES))
-    if kind != "slow-frame":
+    if kind not in ("slow-frame", "silent"):
         sock.sendall(raw)
     at = 0
     while time.monotonic() < until:
@@ -124,6 +135,12 @@
         try:
             with socket.create_connection(address, timeout=CONNECT_TIMEOUT_S) as sock:
                 sock.settimeout(None)
+                if kind in RECONNECTING_KINDS:
+                    _send_one_request(sock, kind, seeded)
+                    continue
+                if kind in DEAF_KINDS:
+                    _send_frames(sock, kind.removeprefix("deaf-"), seeded, until)
+                    continue
                 reader = gevent.spawn(_read_all, sock)
                 if kind in SILENT_KINDS:
                     _send_part_of_a_frame(sock, kind, until)
