Timers of conflicts that are over are dropped before they are due

Seen: one client that sends one identifier again and again took the process to 40 MB, where other floods took 33: each replaced request stayed with its timer for up to a second.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 from functools import partial
-from heapq import heappop, heappush
 from itertools import count
 
 from gevent import get_hub
@@ -50,6 +49,7 @@
 from myrtlecrank.core.published_state import PublishedState
 from myrtlecrank.core.recovery import RecoveryStep, recovery_step
 from myrtlecrank.core.result_cache import ResultCache
+from myrtlecrank.core.timers import Timer, TimerCallback, TimerQueue
 from myrtlecrank.log import LimitedLine
 from myrtlecrank.policy import interface
 from myrtlecrank.policy.controller import Controller
@@ -71,7 +71,6 @@
     "WARNING", "an exchange is terminated: it arrived before the agent had connected"
 )
 IDENTIFIER_IN_USE = LimitedLine("WARNING", "an exchange is terminated: its identifier or key is in use")
-TimerCallback = Callable[[], object]
 
 
 class Core:
@@ -109,8 +108,8 @@
         self.entries_by_exchange: dict[interface.Exchange, ExchangeEntry] = {}
         self.unanswered = 0
         self.cache = ResultCache(settings)
-        self.timers: list[tuple[float, int, TimerCallback]] = []  # a heap
-        self.next_number = count(1).__next__  # of commands and timers alike
+        self.timers = TimerQueue()
+        self.next_number = count(1).__next__  # of commands
         # Tags of the samples whose return ends a resynchronisation with the agent, or a sampling tick.
         self.resync_tag: str | None = None
         self.tick_tag: str | None = None
@@ -142,8 +141,8 @@
     def _arm_loop_timer(self) -> None:
         """Wakes this actor when the first timer is due. One timer of the event loop is cheaper than a
         time-out on each wait for messages."""
-        due = self.timers[0][0] if self.timers else self.loop_timer_due
-        if due != self.loop_timer_due:
+        due = self.timers.next_due()
+        if due is not None and due != self.loop_timer_due:
             self.loop_timer.close()
             self.loop_timer_due = due
             self.loop_timer = get_hub().loop.timer(max(0.0, due - now_ms()) / 1000.0)
@@ -158,8 +157,7 @@
         self.now = max(self.now, now)  # the controller's clock never steps back
         for event in events:
             self._handle_event(event)
-        while self.timers and self.timers[0][0] <= self.now:
-            heappop(self.timers)[2]()
+        self.timers.run_due(self.now)
         if self.controller is not None:
             self.controller.settle(self.now)
 
@@ -383,10 +381,10 @@
         if replaced is not None:
             self._reject_conflict(replaced)
         self.unanswered += 1
-        self.conflicts.add(entry, request)
         if request.conflict_wait_end is None:
             request.conflict_wait_end = self._conflict_wait_end(request)
-            self._add_timer(request.conflict_wait_end, partial(self._reject_conflict, request))
+        timer = self._add_timer(request.conflict_wait_end, partial(self._reject_conflict, request))
+        self.conflicts.add(entry, request, timer)
         self._decide_conflicts(entry)
 
     def _conflict_wait_end(self, request: ExchangeRequest) -> float:
@@ -402,14 +400,22 @@
             for request in self.conflicts.requests_waiting_for(entry):
                 self._reject_conflict(request)
 
+    def _end_conflict(self, request: ExchangeRequest) -> bool:
+        """Ends the wait of a request. Returns whether it was waiting."""
+        timer = self.conflicts.remove(request)
+        if timer is None:
+            return False
+        self.timers.cancel(timer)
+        self.unanswered -= 1
+        return True
+
     def _reject_all_conflicts(self) -> None:
         for request in list(self.conflicts.awaited):
             self._reject_conflict(request)
 
     def _reject_conflict(self, request: ExchangeRequest) -> None:
         """Terminates a request, if it still waits for the exchange that it conflicts with."""
-        if self.conflicts.remove(request):
-            self.unanswered -= 1
+        if self._end_conflict(request):
             IDENTIFIER_IN_USE.log()
             request.send_answer(Answer(request, Verdict.TERMINATED))
 
@@ -516,8 +522,7 @@
 
     def _readmit(self, request: ExchangeRequest) -> None:
         """Admits a request once the entry it conflicted with is gone and was not genuine, or never ran."""
-        if self.conflicts.remove(request):  # its caller has not left meanwhile
-            self.unanswered -= 1
+        if self._end_conflict(request):  # its caller has not left meanwhile
             self._exchange_arrived(request)
 
     # Operations that the controller asks for
@@ -648,8 +653,8 @@
 
     # Timers and gauges
 
-    def _add_timer(self, due: float, callback: TimerCallback) -> None:
-        heappush(self.timers, (due, self.next_number(), callback))
+    def _add_timer(self, due: float, callback: TimerCallback) -> Timer:
+        return self.timers.add(due, callback)
 
     def _alarm_is_due(self) -> None:
         """Requests the gauges: the controller's alarm fires with them, or one delay later without them."""
--- a/myrtlecrank/core/conflicts.py
+++ b/myrtlecrank/core/conflicts.py
@@ -8,6 +8,7 @@
 
 from myrtlecrank.core.exchange_entry import ExchangeEntry
 from myrtlecrank.core.messages import ExchangeRequest
+from myrtlecrank.core.timers import Timer
 
 MAX_WAIT_MS = 1000.0
 
@@ -20,9 +21,11 @@
     def __init__(self) -> None:
         self.waiting: dict[ExchangeEntry, dict[object, ExchangeRequest]] = {}  # by connection
         self.awaited: dict[ExchangeRequest, ExchangeEntry | None] = {}  # None: released
+        self.timers: dict[ExchangeRequest, Timer] = {}  # that end the waits
 
-    def add(self, entry: ExchangeEntry, request: ExchangeRequest) -> None:
+    def add(self, entry: ExchangeEntry, request: ExchangeRequest, timer: Timer) -> None:
         """Lets `request` wait for `entry`. What replaced_by() returns must have been removed before."""
+        self.timers[request] = timer
         self.waiting.setdefault(entry, {})[self._connection_of(request)] = request
         self.awaited[request] = entry
 
@@ -41,17 +44,17 @@
             self.awaited[request] = None
         return requests
 
-    def remove(self, request: ExchangeRequest) -> bool:
-        """Forgets `request`. Returns whether it was waiting or released."""
+    def remove(self, request: ExchangeRequest) -> Timer | None:
+        """Forgets `request`. Returns the timer of its wait; None if it neither waited nor was released."""
         if request not in self.awaited:
-            return False
+            return None
         entry = self.awaited.pop(request)
         if entry is not None:
             requests = self.waiting[entry]
             del requests[self._connection_of(request)]
             if not requests:
                 del self.waiting[entry]
-        return True
+        return self.timers.pop(request)
 
     @staticmethod
     def _connection_of(request: ExchangeRequest) -> object:
--- a/rig/agent_link.py
+++ b/rig/agent_link.py
@@ -422,8 +422,9 @@
         self.next_batch_at = float("inf")
         events, self.events = self.events, []
         self.core.process_batch(events, self.clock.now)
-        if self.core.timers:
-            self._schedule_batch(max(self.clock.now, self.core.timers[0][0]))
+        due = self.core.timers.next_due()
+        if due is not None:
+            self._schedule_batch(max(self.clock.now, due))
 
     def _send_to_agent(self, command: AgentCommand) -> None:
         if isinstance(command, SkipCall) and id(command) not in self.agent.skipped_calls:
--- a/rig/backend.py
+++ b/rig/backend.py
@@ -83,9 +83,9 @@
             return
         messages, self.messages = self.messages, []
         self.core.process_batch(messages, self.clock.now)
-        timers = self.core.timers
-        if timers and timers[0][0] != self.timer_at:
-            at = self.timer_at = max(timers[0][0], self.clock.now)
+        due = self.core.timers.next_due()
+        if due is not None and due != self.timer_at:
+            at = self.timer_at = max(due, self.clock.now)
             self.clock.call_at(at, lambda: self._timer_fired(at))
         if (
             self.drain_requested_at is not None
--- a/tests/test_conflicts.py
+++ b/tests/test_conflicts.py
@@ -125,6 +125,7 @@
     assert [answer.request for answer in harness.answers] == copies[:-1]
     assert all(answer.verdict is Verdict.TERMINATED for answer in harness.answers)
     assert other in harness.core.conflicts.awaited
+    assert len(harness.core.timers.heap) < 80  # those of the replaced ones are gone before they are due
 
 
 def test_a_request_whose_caller_left_between_two_exchanges_is_not_taken_in() -> None:
