Exchanges from the background take at most half of the open ones

Need: a flood that is taken in must not use up the room of sound callers, who would be denied then.

Test: test_the_background_leaves_room_for_exchanges_of_sound_callers.

--- a/myrtlecrank/edge/caller.py
+++ b/myrtlecrank/edge/caller.py
@@ -53,7 +53,7 @@
         sends_wait_time: bool,
         max_retry_after_ms: float,
         published_state: PublishedState,
-        has_room: Callable[[], bool],
+        has_room: Callable[[ReadPriority], bool],
         submit: Callable[[ExchangeArrived], None],
     ) -> None:
         self.groups = groups
@@ -121,7 +121,7 @@
         if age_ms < -MAX_CLOCK_AHEAD_MS or (request.wait_ms or 0.0) > MAX_WAIT_TIMEOUTS * timeout_ms:
             connection.reject(request.stream, "an arrival time in the future or too long a waiting time")
             return
-        if not self.has_room():
+        if not self.has_room(connection.turn_priority):
             if kind is EffectKind.REPEATABLE:
                 connection.refuse(request.stream, self.max_retry_after_ms)
             else:  # a try of it may have run, and is never denied then
--- a/myrtlecrank/edge/server.py
+++ b/myrtlecrank/edge/server.py
@@ -20,6 +20,7 @@
 from myrtlecrank.edge.caller import Caller, GroupEntry
 from myrtlecrank.edge.connection import Connection
 from myrtlecrank.edge.limits import DEFAULT_MEMORY_MB, BufferPool, edge_limits
+from myrtlecrank.edge.read_account import ReadPriority
 from myrtlecrank.edge.turns import TurnScheduler
 from myrtlecrank.frames import codec
 from myrtlecrank.log import LimitedLine
@@ -27,6 +28,7 @@
 BACKLOG_CONNECTIONS = 512
 ACCEPTS_PER_PASS = 8  # between two looks at all other sockets
 NO_DESCRIPTOR_PAUSE_S = 0.05
+BACKGROUND_SHARE = 0.5  # of the open exchanges, beyond which none is taken in from the background
 MAX_SWEEP_ELAPSED_MS = 200.0  # that one sweep counts, so that a pause of this process closes nothing
 GO_AWAY_TIMEOUT_MS = 2000.0  # a caller that has not closed an idle connection by then is considered gone
 CONNECTION_ENDED = LimitedLine("INFO", "a connection {} with {} open")
@@ -201,9 +203,10 @@
             caller.connection_count += 1
         self.callers[connection.caller].handle_request(connection, frame)
 
-    def has_room(self) -> bool:
-        """Whether there is memory for one more open exchange."""
-        return self.core.unanswered + len(self.core.mailbox) < self.max_open_exchanges
+    def has_room(self, priority: ReadPriority) -> bool:
+        """Whether there is memory for one more open exchange of a connection with this priority."""
+        share = BACKGROUND_SHARE if priority is ReadPriority.BACKGROUND else 1.0
+        return self.core.unanswered + len(self.core.mailbox) < share * self.max_open_exchanges
 
     def abandon(self, connection: Connection, stream: int) -> None:
         """Ends one exchange that its caller abandoned; the connection goes on.
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -15,6 +15,7 @@
 from myrtlecrank.core.messages import RunEnded, StartRun
 from myrtlecrank.edge import limits
 from myrtlecrank.edge.limits import BufferPool, edge_limits
+from myrtlecrank.edge.read_account import ReadPriority
 from myrtlecrank.frames import codec
 from myrtlecrank.frames.ring_buffer import RingBuffer
 from myrtlecrank.policy.interface import EffectKind, Outcome
@@ -93,6 +94,19 @@
         harness.server.listener.close()
 
 
+def test_the_background_leaves_room_for_exchanges_of_sound_callers() -> None:
+    harness = ServerHarness()
+    harness.server.max_open_exchanges = 10
+    harness.core.unanswered = 5
+    rooms = {priority: harness.server.has_room(priority) for priority in ReadPriority}
+    assert rooms == {
+        ReadPriority.PROVEN: True,
+        ReadPriority.NEW: True,
+        ReadPriority.BACKGROUND: False,
+    }
+    harness.server.listener.close()
+
+
 @pytest.mark.parametrize("kind", [EffectKind.REPEATABLE, EffectKind.DEDUPLICATED])
 def test_timers_of_exchanges_that_are_over_do_not_pile_up(kind: EffectKind) -> None:
     """Guards against memory that grows with each refused request until its caller stops waiting."""
--- a/tests/test_reading_bounds.py
+++ b/tests/test_reading_bounds.py
@@ -11,6 +11,7 @@
 import pytest
 from gevent import socket
 from loguru import logger
+from test_edge import PairSocket
 
 from myrtlecrank import log
 from myrtlecrank.agent.client import NOTICES_PER_TURN, AgentClient
@@ -138,7 +139,7 @@
 def test_a_connection_that_has_not_said_who_it_is_may_send_little(links: PeerLinks) -> None:
     """Guards against clients that each fill 8 MB before their Hello."""
     ours, theirs = socket.socketpair()
-    gevent.spawn(links._handle_accepted, UnixSocket(ours))
+    gevent.spawn(links._handle_accepted, PairSocket(ours))
     theirs.sendall((MAX_SMALL_MESSAGE_BYTES + 1).to_bytes(4, "little"))
     theirs.settimeout(10.0)
     assert theirs.recv(1) == b"" and links.unidentified_connections == 0
@@ -150,7 +151,7 @@
     """Guards against connections that hold their place for ever by a byte now and then."""
     monkeypatch.setattr("myrtlecrank.fleet.peer_links.HELLO_TIMEOUT_S", HELLO_TIMEOUT_S / 10.0)
     ours, theirs = socket.socketpair()
-    reader = gevent.spawn(links._handle_accepted, UnixSocket(ours))
+    reader = gevent.spawn(links._handle_accepted, PairSocket(ours))
     raw = encode_frame(Hello(VERSION, "f" * 200, "b"))
     for byte in raw:
         gevent.sleep(HELLO_TIMEOUT_S / 100.0)
@@ -163,7 +164,7 @@
 def test_operators_have_a_bounded_number_of_connections(links: PeerLinks) -> None:
     sockets = [socket.socketpair() for _ in range(MAX_OPERATOR_CONNECTIONS + 1)]
     for ours, theirs in sockets:
-        gevent.spawn(links._handle_accepted, UnixSocket(ours))
+        gevent.spawn(links._handle_accepted, PairSocket(ours))
         theirs.sendall(encode_frame(Hello(VERSION, "f", OPERATOR)))
         theirs.settimeout(5.0)
         assert theirs.recv(4)
@@ -176,19 +177,6 @@
         theirs.close()
 
 
-class UnixSocket:
-    """A socket of a pair, which ignores TCP options."""
-
-    def __init__(self, sock: Any) -> None:
-        self.sock = sock
-
-    def setsockopt(self, *_: int) -> None:
-        pass
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.sock, name)
-
-
 def test_a_refused_message_says_which_limit_it_exceeds() -> None:
     reader = MessageReader(FullSocket(b"\xff\xff\xff\x7f"), MAX_SMALL_MESSAGE_BYTES)
     with pytest.raises(RefusedError, match=f"at most {MAX_SMALL_MESSAGE_BYTES}"):
