--- a/myrtlecrank/frames/codec.py
+++ b/myrtlecrank/frames/codec.py
@@ -156,7 +156,7 @@
                 _check_length(length)
                 _check_type(kind, stream, self.allowed_types)
                 end = at + LENGTH_BYTES + length
-                if end <= len(raw):
+                if self.reserved_bytes and end <= len(raw):
                     self.release()
                 if length > MAX_BUFFERED_LENGTH_BYTES or not self._may_buffer(length, end > len(raw)):
                     # Overlong frames are skipped as they arrive: many connections that each send the longest
