The controller and the core's actor share one queue of timers

The dropping of timers that are over stood twice. policy/timers.py serves both; an exchange has one timer, which is cancelled with its end.

--- a/myrtlecrank/core/actor.py
+++ b/myrtlecrank/core/actor.py
@@ -49,11 +49,11 @@
 from myrtlecrank.core.published_state import PublishedState
 from myrtlecrank.core.recovery import RecoveryStep, recovery_step
 from myrtlecrank.core.result_cache import ResultCache
-from myrtlecrank.core.timers import Timer, TimerCallback, TimerQueue
 from myrtlecrank.log import LimitedLine
 from myrtlecrank.policy import interface
 from myrtlecrank.policy.controller import Controller
 from myrtlecrank.policy.interface import EffectKind, Gauges, Outcome
+from myrtlecrank.policy.timers import Timer, TimerCallback, TimerQueue
 from myrtlecrank.retries import exchange_estimates
 from myrtlecrank.retries.estimator import RetryEstimator, StormStatus
 from myrtlecrank.retries.options import RetryOptions
--- a/myrtlecrank/core/conflicts.py
+++ b/myrtlecrank/core/conflicts.py
@@ -8,7 +8,7 @@
 
 from myrtlecrank.core.exchange_entry import ExchangeEntry
 from myrtlecrank.core.messages import ExchangeRequest
-from myrtlecrank.core.timers import Timer
+from myrtlecrank.policy.timers import Timer
 
 MAX_WAIT_MS = 1000.0
 
--- a/myrtlecrank/policy/controller.py
+++ b/myrtlecrank/policy/controller.py
@@ -9,8 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Generator
-from heapq import heapify, heappop, heappush
-from itertools import count
+from functools import partial
 from math import exp
 from typing import Any
 
@@ -20,7 +19,6 @@
     CALL_PHASES,
     ExchangeState,
     Flow,
-    KeyReservation,
     Phase,
     ResumeReason,
     WaitPoint,
@@ -33,13 +31,12 @@
     Outcome,
     PublishedValueKind,
 )
+from myrtlecrank.policy.timers import TimerQueue
 
 NEVER = float("inf")
 MS_PER_S = 1000.0
 LONGEST_READ_DELAY_MS = 1e9  # a least delay beyond this stands for a window without arrivals
 
-MAX_STALE_TIMERS = 64  # and no more than half of all: memory must not grow with exchanges that are over
-
 # Gauges and duress
 SAMPLE_TIMER = "beat"
 SAMPLE_INTERVAL_MS = 100.0
@@ -134,15 +131,6 @@
 AWAITED_OPERATIONS = (interface.Start, interface.Call, interface.SkipCall, interface.AwaitOriginal)
 PROVEN_UNRUN = (Outcome.REJECTED, Outcome.UNREACHED, Outcome.NOT_STARTED)
 
-TimerAction = ExchangeState | KeyReservation | int
-
-
-def _is_stale(at: float, action: TimerAction) -> bool:
-    """Whether a timer that is due at `at` does nothing any more."""
-    if isinstance(action, ExchangeState):
-        return action.wake_at != at
-    return isinstance(action, KeyReservation) and not action.kb
-
 
 class Controller:
     """The decisions of one backend.
@@ -219,10 +207,7 @@
         self.queued_count = 0
         self.peak_in_progress = 0  # since the value was last published
         self.used_kb = 0.0
-        # An exchange is woken; an int changes the number of calls in flight; the memory of a key is freed.
-        self.timers: list[tuple[float, int, TimerAction]] = []
-        self.stale_timers = 0  # those that will do nothing, as their exchange is over or their key released
-        self.next_timer_number = count().__next__
+        self.timers = TimerQueue()
 
         # How much runs at once
         self.run_limit = float(self.cores)
@@ -386,7 +371,7 @@
 
     def _leave_call(self, state: ExchangeState) -> None:
         if state.phase is Phase.CALLING:
-            self._add_timer(self.now + self.abandoned_call_ms, -1)
+            self.timers.add(self.now + self.abandoned_call_ms, self._abandoned_call_over)
         elif state in self.waiting_for_call:
             self.waiting_for_call.remove(state)
 
@@ -397,8 +382,7 @@
         self.waiting_for_original.pop(state, None)
         self._set_memory(state, 0.0)
         state.phase = Phase.CLOSED
-        self.stale_timers += state.wake_at is not None
-        state.wake_at = None
+        self._cancel_wake(state)
 
     def _set_memory(self, state: ExchangeState, kb: float) -> None:
         self.used_kb += kb - state.memory_kb
@@ -406,17 +390,16 @@
 
     def _cache_result(self, state: ExchangeState, duration_ms: float) -> interface.CacheResult:
         self.used_kb += self.key_kb
-        if self.key_kb:
-            state.key = KeyReservation(self.key_kb)
-            self._add_timer(self.now + duration_ms, state.key)
+        state.key_timer = self.timers.add(self.now + duration_ms, self._free_key)
         return interface.CacheResult(state.exchange, duration_ms)
 
+    def _free_key(self) -> None:
+        self.used_kb -= self.key_kb
+
     def _release_key(self, state: ExchangeState) -> None:
         """Frees the memory of a key at once, as an exchange that never ran leaves no result."""
-        if state.key is not None and state.key.kb:
-            self.used_kb -= state.key.kb
-            state.key.kb = 0.0
-            self.stale_timers += 1
+        if state.key_timer is not None and self.timers.cancel(state.key_timer):
+            self._free_key()
 
     def _denial(self, state: ExchangeState) -> interface.Deny:
         """Denies, with what the caller should do instead of a retry at once.
@@ -674,7 +657,7 @@
         if state is None or state.phase is not Phase.CALLING:
             return
         if outcome is Outcome.TIMEOUT:
-            self._add_timer(now + self.abandoned_call_ms, -1)
+            self.timers.add(now + self.abandoned_call_ms, self._abandoned_call_over)
         else:
             self._count_calls(-1)
         state.dependency_ms += took
@@ -710,6 +693,9 @@
             self.longest_silence_ms = max(silence_ms, LONGEST_SILENCE_DECAY * self.longest_silence_ms)
             state.resumed_at = None
 
+    def _abandoned_call_over(self) -> None:
+        self._count_calls(-1)
+
     def _count_calls(self, change: int) -> None:
         """Changes the number of calls in flight, and brings its mean up to date first."""
         weight = 1.0 - exp((self.calls_averaged_at - self.now) / self.calls_window_ms)
@@ -742,33 +728,20 @@
 
     # Timers, samples, publishing
 
-    def _add_timer(self, at: float, action: TimerAction) -> None:
-        if self.stale_timers > MAX_STALE_TIMERS and 2 * self.stale_timers > len(self.timers):
-            self.timers = [entry for entry in self.timers if not _is_stale(entry[0], entry[2])]
-            self.stale_timers = 0
-            heapify(self.timers)
-        heappush(self.timers, (at, self.next_timer_number(), action))
-
     def _wake_at(self, state: ExchangeState, at: float) -> None:
-        self.stale_timers += state.wake_at is not None
-        state.wake_at = at
-        self._add_timer(at, state)
+        """Sets the one timer of an exchange."""
+        self._cancel_wake(state)
+        state.wake_timer = self.timers.add(at, partial(self._exchange_due, state))
+
+    def _cancel_wake(self, state: ExchangeState) -> None:
+        if state.wake_timer is not None:
+            self.timers.cancel(state.wake_timer)
+            state.wake_timer = None
 
     def settle(self, now: float) -> None:
         """Ends the events of one moment: runs the timers that are due, then starts what may start."""
         self.now = now
-        while self.timers and self.timers[0][0] <= now:
-            at, _, action = heappop(self.timers)
-            if _is_stale(at, action):
-                self.stale_timers -= 1
-            elif isinstance(action, ExchangeState):
-                action.wake_at = None
-                self._exchange_due(action)
-            elif isinstance(action, int):
-                self._count_calls(action)
-            else:
-                self.used_kb -= action.kb
-                action.kb = 0.0
+        self.timers.run_due(now)
         if now >= self.stop_at - 2.0 * self.answer_margin_ms:
             queued = [state for group in self.groups for state in group.queue]
             for state in queued + list(self.running) + list(self.waiting_for_original):
--- a/myrtlecrank/policy/exchange_state.py
+++ b/myrtlecrank/policy/exchange_state.py
@@ -8,6 +8,7 @@
 
 from myrtlecrank.policy.endpoint_group import EndpointGroupState
 from myrtlecrank.policy.interface import EffectKind, Exchange
+from myrtlecrank.policy.timers import Timer
 
 # Yields an operation to carry out or a WaitPoint; is sent a ResumeReason or the Outcome of a run or a call.
 Flow = Generator[Any, Any, Any]
@@ -47,15 +48,6 @@
     RUN_ENDED = 6  # its run ended, not cancelled by the controller, while it waited at a call
 
 
-class KeyReservation:
-    """The accounted memory of the key of a cached result, until its window ends or it is released."""
-
-    __slots__ = ("kb",)
-
-    def __init__(self, kb: float) -> None:
-        self.kb = kb
-
-
 class ExchangeState:
     """One exchange, from its arrival until it is answered and nothing of it runs."""
 
@@ -73,8 +65,8 @@
         # The SLO time counts from here in a retry storm.
         self.first_try_at = self.reached_at - exchange.time_since_first_try
         self.memory_kb = exchange.memory_kb  # what is accounted for it now
-        self.key: KeyReservation | None = None
-        self.wake_at: float | None = None  # the time of its one timer that counts; None: none does
+        self.key_timer: Timer | None = None  # frees the memory of its key
+        self.wake_timer: Timer | None = None  # of its due time, or of its latest useful start
         self.started_at = 0.0
         self.cpu_ms = 0.0
         self.dependency_ms = 0.0  # spent in calls
--- a/myrtlecrank/core/timers.py
+++ b/myrtlecrank/policy/timers.py
@@ -1,4 +1,4 @@
-"""Timers of an actor: callbacks in the order of their due times. Times in ms; free of I/O and clocks."""
+"""Timers: callbacks in the order of their due times. Times in ms; free of I/O and clocks."""
 
 from __future__ import annotations
 
@@ -36,16 +36,22 @@
         heappush(self.heap, (due, self.next_number(), timer))
         return timer
 
-    def cancel(self, timer: Timer) -> None:
-        """Keeps a timer from running; nothing happens if it ran already."""
+    def cancel(self, timer: Timer) -> bool:
+        """Keeps a timer from running. Returns False if it has run, or was cancelled before."""
         if timer.callback is None:
-            return
+            return False
         timer.callback = None
         self.cancelled += 1
         if self.cancelled > MAX_CANCELLED and 2 * self.cancelled > len(self.heap):
             self.heap = [entry for entry in self.heap if entry[2].callback is not None]
             self.cancelled = 0
             heapify(self.heap)
+        return True
+
+    def clear(self) -> None:
+        """Removes all timers; none of them runs."""
+        self.heap.clear()
+        self.cancelled = 0
 
     def next_due(self) -> float | None:
         """When the next timer is due; None: there is none."""
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -119,7 +119,7 @@
             harness.process_batch(now, refused)
     assert harness.core.controller is not None
     assert not harness.core.entries_by_id
-    assert len(harness.core.controller.timers) <= MAX_STALE_TIMERS
+    assert len(harness.core.controller.timers.heap) <= MAX_STALE_TIMERS
     assert harness.core.controller.used_kb == pytest.approx(0.0, abs=1e-6)
 
 
