A connection whose input waits for its turn is not idle

Need: in a crowd the idle limit falls to 100 ms, and a caller whose exchange lay unlooked-at for that long was told to send nothing more. Found by reading; a twin of the rule that a connection with unread input is not idle.

Test: test_a_connection_whose_input_waits_for_its_turn_is_not_idle, fails without the change.

--- a/myrtlecrank/edge/server.py
+++ b/myrtlecrank/edge/server.py
@@ -251,7 +251,8 @@
             connection.check_timeouts(elapsed_ms)
             idle_ms = now - connection.last_used_ms
             idle_limit_ms = self.published_state.idle_limit
-            if idle_limit_ms <= 0 or idle_ms <= idle_limit_ms or connection.has_pending_answers():
+            is_busy = connection.is_awaiting_turn or connection.has_pending_answers()
+            if idle_limit_ms <= 0 or idle_ms <= idle_limit_ms or is_busy:
                 continue
             if connection.go_away_sent_at_ms is None:
                 connection.send_go_away(now)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -455,6 +455,19 @@
     assert idle.close_reason is CloseReason.CLOSED_LOCALLY and read_frame(sock) == (0, 0, b"")
 
 
+def test_a_connection_whose_input_waits_for_its_turn_is_not_idle(harness: ServerHarness) -> None:
+    """Guards against callers that are told away in a crowd while their exchanges wait to be looked at."""
+    connection, sock = harness.open()
+    connection.turns.wait = lambda _: gevent.sleep(WAIT_S)  # type: ignore[method-assign]
+    sock.sendall(exchange_frame(1))
+    while not connection.is_awaiting_turn:
+        gevent.sleep(0)
+    harness.core.published.idle_limit = 500.0
+    harness.server.sweep(connection.last_used_ms + 501.0)
+    assert connection.go_away_sent_at_ms is None
+    connection.close(CloseReason.CLOSED_LOCALLY)
+
+
 def test_listener_closes_after_the_drain_grace_period_and_exchanges_already_sent_are_taken(
     harness: ServerHarness,
 ) -> None:
